--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+
+.PHONY: demo test lint bench binary format install
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml requirements.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --requirement requirements.txt
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $@
+
+demo: install
+	$(BIN)/python -m citronwood demo
+
+# The fleet of 18 VMs in one process runs in real time; it gets a process of its own,
+# because the objects that other tests leave behind lengthen the collector's pauses.
+test: install
+	$(BIN)/python -m pytest tests/test_limits_fleet.py
+	$(BIN)/python -m pytest --ignore tests/test_limits_fleet.py -m realtime
+	$(BIN)/python -m pytest --ignore tests/test_limits_fleet.py -m "not realtime" -n 3
+
+lint: install
+	$(BIN)/ruff format --check citronwood tests benchmarks
+	$(BIN)/ruff check citronwood tests benchmarks
+	$(BIN)/mypy
+
+format: install
+	$(BIN)/ruff format citronwood tests benchmarks
+	$(BIN)/ruff check --fix citronwood tests benchmarks
+
+bench: install
+	$(BIN)/python -m benchmarks
+
+binary: install
+	mkdir -p dist
+	$(BIN)/shiv --console-script citronwood --output-file dist/citronwood .
--- /dev/null
+++ b/benchmarks/load.py
@@ -0,0 +1,107 @@
+"""Load generator: one process that sends statements and prints their durations.
+
+Usage: ``python -m benchmarks.load JSON`` with the fields of ``Load``; prints JSON.
+"""
+
+import asyncio
+import json
+import sys
+from time import monotonic
+from typing import Any, NamedTuple
+
+import asyncmy
+import uvloop
+from asyncmy.errors import MySQLError
+
+
+class Load(NamedTuple):
+    """What one process sends.
+
+    ``rate`` is in statements per second over all connections; zero sends as fast as
+    answers arrive. Statements are taken in turn; ``{n}`` becomes a rising number.
+    """
+
+    port: int
+    user: str
+    password: str
+    database: str
+    statements: list[str]
+    connections: int
+    rate: float
+    seconds: float
+    first_number: int = 1
+
+
+class _Run:
+    def __init__(self, load: Load) -> None:
+        self.load = load
+        self.durations_ms: list[float] = []
+        self.errors: dict[str, int] = {}
+        self.started_s: list[float] = []
+        self._sent = 0
+        self._begin = 0.0
+
+    async def run(self) -> dict[str, Any]:
+        """Send statements for the given time."""
+        connections = [await self._connect() for _ in range(self.load.connections)]
+        self._begin = monotonic()
+        await asyncio.gather(*(self._send(one) for one in connections))
+        elapsed = monotonic() - self._begin
+        for connection in connections:
+            connection.close()
+        return {
+            "durations_ms": self.durations_ms,
+            "started_s": self.started_s,
+            "errors": self.errors,
+            "elapsed_s": elapsed,
+        }
+
+    async def _connect(self) -> Any:
+        load = self.load
+        return await asyncmy.connect(
+            host="127.0.0.1",
+            port=load.port,
+            user=load.user,
+            password=load.password,
+            database=load.database,
+            autocommit=True,
+        )
+
+    async def _send(self, connection: Any) -> None:
+        load = self.load
+        end = self._begin + load.seconds
+        async with connection.cursor() as cursor:
+            while True:
+                number = self._sent
+                self._sent += 1
+                due = self._begin + number / load.rate if load.rate else monotonic()
+                if max(due, monotonic()) >= end:
+                    return
+                await asyncio.sleep(max(0.0, due - monotonic()))
+                sql = load.statements[number % len(load.statements)]
+                await self._time(
+                    cursor, sql.replace("{n}", str(load.first_number + number))
+                )
+
+    async def _time(self, cursor: Any, sql: str) -> None:
+        started = monotonic()
+        try:
+            await cursor.execute(sql)
+            await cursor.fetchall()
+        except MySQLError as error:
+            code = str(error.args[0])
+            self.errors[code] = self.errors.get(code, 0) + 1
+            return
+        self.durations_ms.append((monotonic() - started) * 1000)
+        self.started_s.append(started - self._begin)
+
+
+def main() -> None:
+    """Run the load given on the command line."""
+    load = Load(**json.loads(sys.argv[1]))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        print(json.dumps(runner.run(_Run(load).run())))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/members.py
@@ -0,0 +1,191 @@
+"""One process with a part of a fleet: membership and configuration over sockets.
+
+Usage: ``python -m benchmarks.members JSON`` with the fields of ``Part``; prints JSON.
+CPU time is that of the whole process, so that other work on the machine is not counted.
+"""
+
+import asyncio
+import json
+import sys
+from pathlib import Path
+from time import monotonic, process_time
+from typing import Any, NamedTuple
+
+import uvloop
+
+from citronwood.config.distribution import ConfigDistributor, wait_until_in_force
+from citronwood.config.model import Configuration
+from citronwood.config.store import to_document
+from citronwood.deadline import deadline_in
+from citronwood.errors import PlatformUnavailableError
+from citronwood.fleet.copies import ConfigurationCopies
+from citronwood.fleet.membership import FleetMembership
+from citronwood.inner.rpc import Rpc
+from citronwood.metrics import Metrics
+from citronwood.platform.api import Versioned, Vm
+
+SECRET = b"secret of the benchmarks"
+FIRST_VERSION = 1
+IN_FORCE_LIMIT_S = 20.0
+
+
+class Part(NamedTuple):
+    """VMs ``first`` to ``first + count - 1`` of a fleet of ``size``.
+
+    Measuring starts at ``measure_at`` (monotonic seconds of the machine); the store
+    holds the second version from ``change_at`` on.
+    """
+
+    size: int
+    first: int
+    count: int
+    port: int
+    measure_at: float
+    change_at: float
+
+
+class SteadyPlatform:
+    """Platform whose configuration changes once, at a given moment."""
+
+    def __init__(self, part: Part) -> None:
+        self._part = part
+        self._value = to_document(Configuration())
+
+    async def get(self, kind: str, name: str, deadline: float) -> Versioned:
+        """Return the configuration."""
+        changed = monotonic() >= self._part.change_at
+        return Versioned(self._value, FIRST_VERSION + changed)
+
+    async def watch(
+        self, kind: str, name: str, after_version: int, deadline: float
+    ) -> Versioned | None:
+        """Wait for the change."""
+        end = min(deadline - 0.01, max(monotonic(), self._part.change_at))
+        if after_version > FIRST_VERSION:
+            end = deadline - 0.01
+        await asyncio.sleep(max(0.0, end - monotonic()))
+        found = await self.get(kind, name, deadline)
+        return found if found.version > after_version else None
+
+    async def list_vms(self, deadline: float) -> list[Vm]:
+        """Return the whole fleet."""
+        part = self._part
+        return [
+            Vm(f"vm{n}", _url(part, n), f"d{n % 9}", "live") for n in range(part.size)
+        ]
+
+    async def put(self, *arguments: Any) -> int:
+        """Refuse changes."""
+        raise PlatformUnavailableError("the benchmark's store is read only")
+
+    async def delete(self, *arguments: Any) -> None:
+        """Refuse changes."""
+        raise PlatformUnavailableError("the benchmark's store is read only")
+
+
+class _Member:
+    def __init__(self, part: Part, number: int, platform: SteadyPlatform) -> None:
+        self.rpc = Rpc(f"vm{number}", SECRET, Metrics())
+        self.rpc.start(_url(part, number))
+        self.membership = FleetMembership(
+            self.rpc,
+            f"d{number % 9}",
+            platform=platform,
+            config_state=lambda: (self.config.version, self.config.vouch_age_ms),
+        )
+        self.copies = ConfigurationCopies(self.rpc, self.membership)
+        self.config = ConfigDistributor(
+            platform, self.membership, Metrics(), self.copies.fetch
+        )
+        self.copies.serve(self.config)
+        self.membership.on_heartbeat(self._on_heartbeat)
+        self.in_force_at: float | None = None
+        self.config.on_change(self._on_change)
+
+    async def start(self) -> None:
+        self.membership.start()
+        await self.config.start(deadline_in(5))
+
+    async def close(self) -> None:
+        await self.config.stop()
+        await self.membership.close()
+        await self.rpc.close()
+
+    def _on_heartbeat(self, caller: Any, heartbeat: Any) -> None:
+        self.config.heard_vouch(heartbeat.config_version, heartbeat.vouch_age_ms)
+        if heartbeat.config_version > self.config.version:
+            self.copies.fetch_soon(caller.url)
+
+    def _on_change(self, config: Configuration) -> None:
+        if config.version > FIRST_VERSION:
+            self.in_force_at = monotonic()
+
+
+def _url(part: Part, number: int) -> str:
+    return f"tcp://127.0.0.1:{part.port + number}"
+
+
+def resident_kb() -> int:
+    """Return the resident size of this process."""
+    for line in Path("/proc/self/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1])
+    raise ValueError("no resident size")
+
+
+async def run_part(part: Part) -> dict[str, Any]:
+    """Run these VMs and return totals over all of them."""
+    before_kb = resident_kb()
+    platform = SteadyPlatform(part)
+    members = [
+        _Member(part, number, platform)
+        for number in range(part.first, part.first + part.count)
+    ]
+    await asyncio.gather(*(member.start() for member in members))
+    await asyncio.sleep(max(0.0, part.measure_at - monotonic()))
+    started, cpu = monotonic(), process_time()
+    frames, size = _sent(members)
+    received = sum(one.rpc.transport.received_bytes for one in members)
+    await asyncio.sleep(max(0.0, part.change_at - 0.2 - monotonic()))
+    elapsed, cpu = monotonic() - started, process_time() - cpu
+    frames_after, size_after = _sent(members)
+    received = sum(one.rpc.transport.received_bytes for one in members) - received
+    found = {
+        "elapsed_s": elapsed,
+        "cpu_s": cpu,
+        "frames": frames_after - frames,
+        "sent_bytes": size_after - size,
+        "received_bytes": received,
+        "live": min(len(one.membership.live) for one in members),
+        "kb": resident_kb() - before_kb,
+    }
+    found |= await _wait_in_force(part, members)
+    # The other processes may still wait for these VMs.
+    await asyncio.sleep(2)
+    await asyncio.gather(*(member.close() for member in members))
+    return found
+
+
+def _sent(members: list[_Member]) -> tuple[int, int]:
+    totals = [one.rpc.transport.sent for one in members]
+    return sum(one[0] for one in totals), sum(one[2] for one in totals)
+
+
+async def _wait_in_force(part: Part, members: list[_Member]) -> dict[str, Any]:
+    """Return when the last VM followed and when one VM knew it of all others."""
+    end = part.change_at + IN_FORCE_LIMIT_S
+    await wait_until_in_force(members[0].membership, FIRST_VERSION + 1, end)
+    confirmed = monotonic() - part.change_at
+    late = [one.in_force_at or end for one in members]
+    return {"in_force_s": max(late) - part.change_at, "confirmed_s": confirmed}
+
+
+def main() -> None:
+    """Run the part given on the command line."""
+    part = Part(**json.loads(sys.argv[1]))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        print(json.dumps(runner.run(run_part(part))))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/path.py
@@ -0,0 +1,148 @@
+"""Cost of the path of a statement: added latency, throughput, memory."""
+
+import asyncio
+import json
+import subprocess
+import sys
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import asyncmy
+
+from benchmarks.load import Load
+from benchmarks.report import Row, percentile
+from benchmarks.series import Recorder
+from citronwood.fleet.placement import choose_gateways
+from citronwood.inner.messages import VmState
+from tests.fleet import ACCOUNT, DOMAINS, KEY, ROUTE, TABLE, Fleet, run
+
+READ = "SELECT id, household, food FROM pledges WHERE id = 7"
+RATE = 200.0
+SECONDS = 5.0
+IDLE_CONNECTIONS = 3100
+
+
+def start_load(port: int, rate: float, seconds: float, **changes: Any) -> Any:
+    """Start one load process."""
+    fields = {
+        "port": port,
+        "user": ACCOUNT,
+        "password": KEY,
+        "database": ROUTE,
+        "statements": [READ],
+        "connections": 4,
+        "rate": rate,
+        "seconds": seconds,
+    } | changes
+    command = [sys.executable, "-m", "benchmarks.load"]
+    text = json.dumps(Load(**fields)._asdict())
+    return subprocess.Popen([*command, text], stdout=subprocess.PIPE, text=True)
+
+
+def finish_load(process: Any) -> dict[str, Any]:
+    """Wait for a load process and return what it measured."""
+    output, _ = process.communicate(timeout=120)
+    found: dict[str, Any] = json.loads(output)
+    return found
+
+
+def measure_path(fleet: Fleet, recorder: Recorder) -> list[Row]:
+    """Return the rows of added latency and throughput."""
+    hosts = gateways(fleet)
+    others = [name for name in fleet.entries if name not in hosts]
+    measure = partial(_latency, recorder)
+    direct = measure(
+        "member itself", fleet.member_ports["m2"], user="proxy", password="proxy"
+    )
+    local = measure("through one entry", fleet.ports[hosts[0]])
+    forwarded = measure("forwarded", fleet.ports[others[0]])
+    rows = []
+    for name, found, p50, p99 in (
+        ("added latency through one entry", local, 0.4, 2.0),
+        ("added latency when forwarded", forwarded, 1.2, None),
+    ):
+        for label, share, bound in (("p50", 0.5, p50), ("p99", 0.99, p99)):
+            base = percentile(direct, share)
+            value = percentile(found, share) - base
+            rows.append(Row(f"{name} {label}", value, "ms", bound, baseline=base))
+    rows.append(_throughput(fleet, hosts[0], "point reads through one entry", 4000))
+    rows.append(_throughput(fleet, others[0], "point reads forwarded", 2000))
+    return rows
+
+
+def measure_memory(fleet: Fleet, recorder: Recorder) -> list[Row]:
+    """Return the memory of an idle client connection."""
+    name = next(iter(fleet.entries))
+    pid = fleet.entries[name].pid
+    before = _resident_kb(pid)
+    after = asyncio.run(_with_idle_connections(fleet, name, pid))
+    value = (after - before) / IDLE_CONNECTIONS
+    return [Row("memory of an idle client connection", value, "KB", 20.0)]
+
+
+async def fill(fleet: Fleet) -> None:
+    """Create the table and its rows."""
+    connection = await fleet.connect()
+    await run(connection, TABLE)
+    for number in range(20):
+        await run(connection, f"INSERT INTO pledges (household) VALUES ('h{number}')")
+    connection.close()
+
+
+def gateways(fleet: Fleet) -> list[str]:
+    """Return the entries that are gateways of the group, by rank."""
+    vms = [
+        VmState(name, 1, 1, "", DOMAINS[index % len(DOMAINS)], "live", 1)
+        for index, name in enumerate(fleet.entries)
+    ]
+    return [vm.name for vm in choose_gateways("pledges", vms)]
+
+
+def _latency(recorder: Recorder, line: str, port: int, **login: str) -> list[float]:
+    found = finish_load(start_load(port, RATE, SECONDS, **login))
+    assert not found["errors"], found["errors"]
+    durations: list[float] = found["durations_ms"]
+    for started_s, duration_ms in zip(found["started_s"], durations, strict=True):
+        recorder.add("latency of a point read (ms)", line, started_s, duration_ms)
+    return durations[len(durations) // 10 :]
+
+
+def _throughput(fleet: Fleet, name: str, measure: str, bound: float) -> Row:
+    loads = [start_load(fleet.ports[name], 0, SECONDS, connections=8) for _ in range(3)]
+    found = [finish_load(load) for load in loads]
+    total = sum(len(one["durations_ms"]) / one["elapsed_s"] for one in found)
+    return Row(measure, total, "1/s", bound, at_most=False)
+
+
+def _resident_kb(pid: int) -> int:
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1])
+    raise ValueError("no resident size")
+
+
+async def _with_idle_connections(fleet: Fleet, name: str, pid: int) -> int:
+    limit = asyncio.Semaphore(50)
+
+    async def connect() -> Any:
+        async with limit:
+            connection = await asyncmy.connect(
+                host="127.0.0.1",
+                port=fleet.ports[name],
+                user=ACCOUNT,
+                password=KEY,
+                database=ROUTE,
+                # Otherwise the read would open a transaction.
+                autocommit=True,
+                connect_timeout=60,
+            )
+            await run(connection, READ)
+            return connection
+
+    connections = await asyncio.gather(*(connect() for _ in range(IDLE_CONNECTIONS)))
+    await asyncio.sleep(1)
+    resident = _resident_kb(pid)
+    for connection in connections:
+        connection.close()
+    return resident
--- /dev/null
+++ b/benchmarks/statement.py
@@ -0,0 +1,263 @@
+"""CPU time of a point read: callers' side alone, and each process of a fleet.
+
+Usage: ``python -m benchmarks.statement [callers|fleet] [--profile FILE]``. CPU time is
+that of one process, so that other work on the machine disturbs little.
+"""
+
+import asyncio
+import cProfile
+import struct
+import sys
+import time
+from argparse import ArgumentParser
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from time import process_time
+from typing import Any, NamedTuple
+
+import uvloop
+from mysql_mimic.stream import MysqlStream
+from mysql_mimic.types import Capabilities
+from result import Ok
+
+from benchmarks.path import RATE, READ, fill, finish_load, gateways, start_load
+from benchmarks.report import Row, percentile, print_table
+from citronwood.backend.api import Column, Position, Reply, Request
+from citronwood.config.keys import key_digest
+from citronwood.config.model import Configuration
+from citronwood.fleet.membership import FleetMembership
+from citronwood.fleet.routing import GroupRouter
+from citronwood.inner.rpc import Rpc
+from citronwood.limits.api import Unlimited
+from citronwood.metrics import Metrics
+from citronwood.mysql.connection import ServerConnection
+from citronwood.mysql.packets import LimitedReader
+from citronwood.mysql.responses import SERVER_CAPABILITIES
+from citronwood.mysql.session import CallerSession, EntryServices
+from citronwood.mysql.throttle import LoginThrottle
+from citronwood.operator.records import Records
+from tests.fleet import ACCOUNT, KEY, ROUTE, Fleet
+from tests.processes import Processes
+
+SECONDS = 3.0
+STATEMENTS = 500
+ROUNDS = 80
+LOADS = 2
+CONNECTIONS = 8
+ROW = (b"7", b"h6", None)
+COLUMNS = (
+    Column("id", 8, True, 0, 20),
+    Column("household", 253, False, 0, 320),
+    Column("food", 253, False, 0, 320),
+)
+
+
+class OneRow:
+    """Executor that answers at once with one row, and counts."""
+
+    def __init__(self) -> None:
+        self.statements = 0
+
+    async def execute(self, request: Request) -> Any:
+        """Answer a read."""
+        self.statements += 1
+        position = Position(1, 1)
+        return Ok(Reply(COLUMNS, self._rows(), 0, 0, position, False, "m1", True))
+
+    async def _rows(self) -> AsyncIterator[list[tuple[bytes | None, ...]]]:
+        yield [ROW]
+
+    async def end_session(self, session_id: str) -> None:
+        """Hold nothing."""
+
+
+class _Config:
+    may_serve = True
+
+    def __init__(self) -> None:
+        account = {"rate": 1000, "burst": 1000, "keys": {"k1": key_digest(KEY)}}
+        document = {
+            "version": 1,
+            "accounts": {ACCOUNT: account},
+            "groups": {"pledges": {"database": "demo", "members": {}}},
+            "routes": {ROUTE: {"group": "pledges"}},
+        }
+        self.current = Configuration.model_validate(document)
+
+
+class _Wire(asyncio.Transport):
+    """Client and socket in one: sends the next command when an answer arrives.
+
+    Without sockets and a second process the figure hardly depends on other work.
+    """
+
+    def __init__(self, connection_made: Callable[["_Wire"], asyncio.StreamReader]):
+        super().__init__()
+        self.answers = 0
+        self.wanted = 0
+        self.done = asyncio.Event()
+        self.reader = connection_made(self)
+
+    def write(self, data: Any) -> None:
+        """Take an answer."""
+        self.answers += 1
+        if self.answers < self.wanted:
+            self.reader.feed_data(_QUERY)
+        else:
+            self.done.set()
+
+    def is_closing(self) -> bool:
+        """Stay open."""
+        return False
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+    def get_write_buffer_size(self) -> int:
+        """Everything has been taken."""
+        return 0
+
+
+_QUERY = struct.pack("<I", len(READ) + 1) + b"\x03" + READ.encode()
+
+
+def measure_callers(profile: Path | None = None) -> list[Row]:
+    """Return the CPU time of the callers' side, with an executor that does nothing."""
+    spent = uvloop.run(_measure_callers(profile))
+    return [Row("callers' side: CPU of a point read, no sockets", spent, "us")]
+
+
+async def _measure_callers(profile: Path | None) -> float:
+    rpc = Rpc("vm01", b"secret of the benchmarks", Metrics())
+    rpc.start("tcp://127.0.0.1:0")
+    executor = OneRow()
+    config: Any = _Config()
+    services = EntryServices(
+        config,
+        GroupRouter(FleetMembership(rpc, "d1"), executor, lambda vm: executor),
+        Unlimited(),
+        Metrics(),
+        Records(),
+        b"secret",
+        LoginThrottle(),
+    )
+    session = CallerSession(services)
+    session.key_accepted(ACCOUNT, key_digest(KEY))
+    await session.open(ACCOUNT, ROUTE)
+    wire, connection = _connect(session)
+    phase = asyncio.create_task(connection.command_phase())
+    profiler = cProfile.Profile()
+    rounds = []
+    for number in range(ROUNDS):
+        # The first round is not counted.
+        if profile is not None and number == 1:
+            profiler.enable()
+        started = process_time()
+        wire.answers, wire.wanted = 0, STATEMENTS
+        wire.done.clear()
+        wire.reader.feed_data(_QUERY)
+        await wire.done.wait()
+        rounds.append(1e6 * (process_time() - started) / STATEMENTS)
+    if profile is not None:
+        profiler.disable()
+        profiler.dump_stats(str(profile))
+    assert executor.statements == ROUNDS * STATEMENTS
+    phase.cancel()
+    await rpc.close()
+    return min(rounds[1:])
+
+
+def _connect(session: CallerSession) -> tuple[_Wire, ServerConnection]:
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader(loop=loop)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    wire = _Wire(lambda _: reader)
+    writer = asyncio.StreamWriter(wire, protocol, reader, loop)
+    stream = MysqlStream(LimitedReader(reader), writer)
+    connection = ServerConnection(stream, session, 1, None)
+    connection._adopt(SERVER_CAPABILITIES & ~Capabilities.CLIENT_QUERY_ATTRIBUTES)
+    return wire, connection
+
+
+def cpu_s(pid: int) -> float:
+    """Return the CPU time of all threads of a process."""
+    found = 0
+    for task in Path(f"/proc/{pid}/task").iterdir():
+        found += int((task / "schedstat").read_text().split()[0])
+    return found / 1e9
+
+
+def measure_fleet(fleet: Fleet) -> list[Row]:
+    """Return the CPU time in each process, and the latency, of point reads."""
+    asyncio.run(fill(fleet))
+    hosts = gateways(fleet)
+    forwarding = next(name for name in fleet.entries if name not in hosts)
+    rows = []
+    for label, name in (("local", hosts[0]), ("forwarded", forwarding)):
+        rows += _measure_entry(fleet, label, name)
+    return rows
+
+
+def _measure_entry(fleet: Fleet, label: str, name: str) -> list[Row]:
+    port = fleet.ports[name]
+    idle = _spent(fleet, lambda: time.sleep(SECONDS))
+    busy = _spent(fleet, lambda: _load_fully(port))
+    calm = _spent(fleet, lambda: [finish_load(start_load(port, RATE, SECONDS))])
+    rows = []
+    for kind, found in (("full load", busy), (f"{RATE:.0f}/s", calm)):
+        done = sum(len(one["durations_ms"]) for one in found.loads)
+        for part, entries in (("entry", {name}), ("others", {*fleet.entries} - {name})):
+            spent = sum(found.cpu_s[one] - idle.cpu_s[one] for one in entries)
+            measure = f"{label}, {kind}: CPU, {part}"
+            rows.append(Row(measure, 1e6 * spent / done, "us"))
+    rate = sum(len(one["durations_ms"]) / one["elapsed_s"] for one in busy.loads)
+    durations = calm.loads[0]["durations_ms"]
+    return [
+        *rows,
+        Row(f"{label}: point reads", rate, "1/s"),
+        Row(f"{label}: p50 at {RATE:.0f}/s", percentile(durations, 0.5), "ms"),
+        Row(f"{label}: p99 at {RATE:.0f}/s", percentile(durations, 0.99), "ms"),
+        Row(f"{label}: idle entry", 100 * idle.cpu_s[name] / SECONDS, "%"),
+    ]
+
+
+class _Spent(NamedTuple):
+    cpu_s: dict[str, float]
+    loads: list[dict[str, Any]]
+
+
+def _spent(fleet: Fleet, work: Callable[[], Any]) -> _Spent:
+    """Return the CPU time of each entry during some work, and the work's result."""
+    before = {name: cpu_s(process.pid) for name, process in fleet.entries.items()}
+    loads = work() or []
+    after = {name: cpu_s(process.pid) for name, process in fleet.entries.items()}
+    return _Spent({name: after[name] - before[name] for name in before}, loads)
+
+
+def _load_fully(port: int) -> list[dict[str, Any]]:
+    loads = [
+        start_load(port, 0, SECONDS, connections=CONNECTIONS) for _ in range(LOADS)
+    ]
+    return [finish_load(one) for one in loads]
+
+
+def main() -> None:
+    """Measure what the command line names."""
+    parser = ArgumentParser(description="CPU time of a point read.")
+    parser.add_argument("part", choices=["callers", "fleet"])
+    parser.add_argument("--profile", type=Path)
+    arguments = parser.parse_args()
+    if arguments.part == "callers":
+        print_table(measure_callers(arguments.profile))
+        return
+    processes = Processes()
+    with TemporaryDirectory(prefix="citronwood-bench-") as folder:
+        try:
+            print_table(measure_fleet(Fleet(processes, Path(folder), entries=3)))
+        finally:
+            processes.stop_all()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/citronwood/__main__.py
@@ -0,0 +1,8 @@
+"""Run the command line with ``python -m citronwood``."""
+
+import sys
+
+from citronwood.cli.application import main
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/citronwood/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers: connections, database groups and the gateway role."""
--- /dev/null
+++ b/citronwood/backend/gateway.py
@@ -0,0 +1,318 @@
+"""Gateway role: runs statements on the members of a database group."""
+
+import asyncio
+import logging
+from time import monotonic
+
+from asyncmy.errors import MySQLError
+from result import Err, Ok, Result
+
+from citronwood.backend.answers import (
+    empty_reply,
+    make_reply,
+    refuse_failed,
+    refuse_not_run,
+)
+from citronwood.backend.api import Position, Reply, Request, StatementKind
+from citronwood.backend.connection import Answer, BackendConnection
+from citronwood.backend.group import GroupView
+from citronwood.backend.handover import Handover
+from citronwood.backend.host import Host
+from citronwood.backend.member import MemberControl, MemberStatus
+from citronwood.backend.pool import Pool
+from citronwood.backend.primary import PrimaryAccess
+from citronwood.backend.promotion import Promoter
+from citronwood.backend.reads import FloorReader, ReadNeed, ReadRouter
+from citronwood.backend.seats import Seat, data_connections
+from citronwood.backend.transactions import Transactions
+from citronwood.backend.writes import Writer
+from citronwood.config.model import Group
+from citronwood.deadline import deadline_in, has_passed, time_left
+from citronwood.errors import (
+    BackendUnavailableError,
+    ConnectionLostError,
+    ErrorCode,
+    Refusal,
+)
+
+log = logging.getLogger(__name__)
+
+STOP_S = 10.0
+# Below this time left a read is not given up for another member.
+LAST_ATTEMPT_S = 0.5
+# A gateway without a seat runs nothing, while the group's other gateways may. The
+# time is for its start and for control connections that are lost for a moment.
+NO_SEAT_S = 0.5
+# How long a read waits for a member other than those that have failed it.
+EXCLUDE_S = 0.05
+
+_TIMINGS = {kind: f"gateway.{kind.value}" for kind in StatementKind}
+
+
+class Gateway:
+    """Executor of one database group on this VM."""
+
+    def __init__(self, group_name: str, group: Group, host: Host) -> None:
+        self._group_name = group_name
+        self._host = host
+        self._metrics = host.metrics
+        self._running = False
+        self._active = 0
+        self._no_seat_until: float | None = None
+        self._controls: dict[str, MemberControl] = {}
+        self._pools: dict[str, Pool] = {}
+        self.view = GroupView(group, lambda: self._floors.refresh())
+        self._access = PrimaryAccess(self.view, self._pools)
+        self._writer = Writer(self.view, self._controls, self._access)
+        self._transactions = Transactions(self.view, self._access, self._writer)
+        self._floors = FloorReader(self.view, self._controls)
+        self._router = ReadRouter(self.view, self._pools)
+        self._promoter = Promoter(
+            group_name, self.view, self._controls, host, self.change_primary
+        )
+        self._handover = Handover(self.view, self._controls, self._access, self._change)
+
+    @property
+    def open_transactions(self) -> int:
+        """Number of open transactions."""
+        return self._transactions.count
+
+    def start(self) -> None:
+        """Connect to the members and accept requests."""
+        self._running = True
+        for member in self.view.group.members:
+            self._add_member(member)
+        self._access.start()
+        self._promoter.start()
+        self._handover.start()
+
+    async def stop(self, deadline: float | None = None) -> None:
+        """Refuse new requests, wait for running ones, and close all connections.
+
+        Open transactions may continue until the deadline.
+        """
+        self._running = False
+        limit = deadline if deadline is not None else deadline_in(STOP_S)
+
+        def find_idle() -> bool | None:
+            return None if self._active or self._transactions.count else True
+
+        await self.view.wait_for(find_idle, limit)
+        await self._handover.stop()
+        await self._promoter.stop()
+        await self._access.stop()
+        await asyncio.gather(*(self._drop_member(n, limit) for n in [*self._controls]))
+
+    async def update(self, group: Group) -> None:
+        """Adopt a changed definition of the group."""
+        old = self.view.group
+        self.view.update(group)
+        for member in set(self._controls) - set(group.members):
+            await self._drop_member(member, deadline_in(STOP_S))
+        for member, definition in group.members.items():
+            known = self._controls.get(member)
+            moved = known is not None and (
+                known.address != f"{definition.host}:{definition.port}"
+                or old.database != group.database
+            )
+            if moved:
+                self.view.forget(member)
+                await self._drop_member(member, deadline_in(STOP_S))
+            if member not in self._controls:
+                self._add_member(member)
+        for member, pool in self._pools.items():
+            pool.resize(data_connections(group))
+            self._controls[member].seat.slots = data_connections(group)
+
+    def _add_member(self, member: str) -> None:
+        group = self.view.group
+        seat = Seat(
+            self._host.vm,
+            self._group_name,
+            self._host.is_dead,
+            self._host.peers,
+            lambda: self._pools[member].abort_all(),
+        )
+        control = MemberControl(
+            member,
+            group.members[member],
+            group.database,
+            self._host.login,
+            self.view.publish,
+            seat,
+            self.view.poll_s,
+        )
+        pool = Pool(control, data_connections(group), self._host.weight)
+        seat.slots = data_connections(group)
+        seat.own_connections = lambda: pool.connection_ids
+        self._controls[member] = control
+        self._pools[member] = pool
+        control.start()
+
+    async def _drop_member(self, member: str, deadline: float) -> None:
+        await self._pools[member].close(deadline)
+        await self._controls[member].stop()
+        self._pools.pop(member, None)
+        self._controls.pop(member, None)
+
+    async def execute(self, request: Request) -> Result[Reply, Refusal]:
+        """Run one statement."""
+        if not self._running and not self._transactions.has(request.session_id):
+            return Err(refuse_not_run("this VM no longer serves the group"))
+        started = monotonic()
+        self._active += 1
+        try:
+            outcome = await self._dispatch(request)
+        finally:
+            self._active -= 1
+            if not self._running:
+                self.view.wake()
+        # The entry keeps the histograms of client accounts; this is the gateway's part.
+        elapsed_ms = (monotonic() - started) * 1000
+        self._metrics.timing(_TIMINGS[request.kind], elapsed_ms)
+        return outcome
+
+    async def end_session(self, session_id: str) -> None:
+        """Roll back and release what the session still holds."""
+        await self._transactions.end_session(session_id)
+
+    async def _dispatch(self, request: Request) -> Result[Reply, Refusal]:
+        known = self._transactions.has(request.session_id)
+        if known and not request.in_transaction:
+            # The session has forgotten its transaction, so nobody will end it.
+            await self.end_session(request.session_id)
+        if not request.in_transaction and not await self._wait_for_seats(
+            request.deadline
+        ):
+            return Err(refuse_not_run("this gateway has too few seats on the members"))
+        if request.in_transaction or request.kind is StatementKind.BEGIN:
+            floor = request.floor
+            if floor is None and request.kind is StatementKind.BEGIN:
+                floor = await self._floors.read(request.deadline)
+                if floor is None:
+                    return Err(refuse_not_run("no majority of the members responds"))
+            return await self._transactions.execute(request, floor)
+        if request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+            return Ok(empty_reply(""))
+        if request.kind is StatementKind.READ:
+            return await self._read(request)
+        return await self._writer.run(request)
+
+    def _has_seats(self) -> bool | None:
+        """Whether there is a seat, and a majority of the members denies none.
+
+        Without a majority neither floors nor acknowledgements can be read. A member
+        that does not respond denies nothing; requests wait for it.
+        """
+        held, admitting = False, 0
+        for control in self._controls.values():
+            seat = control.seat
+            held = held or seat.is_held
+            admitting += not seat.is_denied
+        return True if held and admitting >= self.view.majority else None
+
+    async def _wait_for_seats(self, deadline: float) -> bool:
+        """Wait for seats on the members, in all only for a short time."""
+        if self._has_seats():
+            self._no_seat_until = None
+            return True
+        if self._no_seat_until is None:
+            self._no_seat_until = deadline_in(NO_SEAT_S)
+        limit = min(deadline, self._no_seat_until)
+        return await self.view.wait_for(self._has_seats, limit) is True
+
+    async def _read(self, request: Request) -> Result[Reply, Refusal]:
+        floor = request.floor
+        if floor is None and request.max_age_ms is None:
+            floor = await self._floors.read(request.deadline)
+            if floor is None:
+                return Err(refuse_not_run("no majority of the members responds"))
+        need = ReadNeed(floor, request.max_age_ms, request.account)
+        excluded: frozenset[str] = frozenset()
+        while not has_passed(request.deadline):
+            limit = request.deadline
+            if excluded:
+                limit = min(limit, deadline_in(EXCLUDE_S))
+            status = await self._router.choose(need, limit, excluded)
+            if status is None:
+                # Members that failed before may have recovered.
+                excluded = frozenset()
+                continue
+            outcome = await self._try_read(request, need, status)
+            if outcome is not None:
+                return outcome
+            excluded |= {status.member}
+        return Err(refuse_not_run("no member could serve the read in time"))
+
+    async def _try_read(
+        self, request: Request, need: ReadNeed, status: MemberStatus
+    ) -> Result[Reply, Refusal] | None:
+        """Read from one member; None when another one must be tried."""
+        pool = self._pools[status.member]
+        deadline = _attempt_deadline(request.deadline)
+        try:
+            connection = await pool.acquire(request.account, deadline)
+        except (TimeoutError, BackendUnavailableError):
+            return None
+        now = self.view.status(status.member)
+        if now is None or not self._router.serves(now, need):
+            pool.release(connection)
+            return None
+        refusal = request.refusal()
+        if refusal is not None:
+            pool.release(connection)
+            return Err(refusal)
+        try:
+            answer = await connection.run(request.sql, deadline)
+        except ConnectionLostError:
+            pool.release(connection)
+            self._metrics.count("group.reads_retried")
+            return None
+        except MySQLError as error:
+            pool.release(connection, request.sql)
+            if error.args[0] in (ErrorCode.TOO_MANY_CONNECTIONS, ErrorCode.READ_ONLY):
+                return None
+            return Err(refuse_failed(error))
+        except BaseException:
+            pool.release(connection)
+            raise
+        self.view.note_answer(status.member)
+        _release_after_rows(pool, connection, answer, request.sql)
+        primary = self.view.primary
+        replica = primary is None or primary.member != status.member
+        self._metrics.count("group.reads_replica" if replica else "group.reads_primary")
+        position: Position | None = need.floor
+        return Ok(make_reply(answer, status.member, replica, position))
+
+    async def change_primary(
+        self, target: str, reason: str = "planned by the operator"
+    ) -> bool:
+        """Make ``target`` the primary without refusing a request.
+
+        Returns False when another promoter was faster or the target did not catch up.
+        """
+        return await self._handover.change_primary(target, reason)
+
+    async def _change(self, reason: str, target: str) -> str | None:
+        change = await self._promoter.change(reason, target)
+        return None if change is None else change.new_primary
+
+
+def _attempt_deadline(deadline: float) -> float:
+    """Leave part of the time for another member, in case this one stays silent."""
+    left = time_left(deadline)
+    return deadline if left < LAST_ATTEMPT_S else deadline_in(left / 2)
+
+
+def _release_after_rows(
+    pool: Pool, connection: BackendConnection, answer: Answer, sql: str
+) -> None:
+    if answer.rows is None:
+        pool.release(connection, sql)
+    else:
+        answer.rows.notify_end(lambda: pool.release(connection, sql))
+
+
+def open_gateway(group_name: str, group: Group, host: Host) -> Gateway:
+    """Return the gateway of a group; it serves after ``start``."""
+    return Gateway(group_name, group, host)
--- /dev/null
+++ b/citronwood/backend/member.py
@@ -0,0 +1,282 @@
+"""Control of one member: its status and the commands of a change of primary."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from time import monotonic
+from typing import NamedTuple
+
+from asyncmy.errors import MySQLError
+
+from citronwood.backend.api import Position
+from citronwood.backend.connection import BackendConnection, Login, open_connection
+from citronwood.backend.seats import Seat
+from citronwood.config.model import Member
+from citronwood.deadline import deadline_in, until
+from citronwood.errors import (
+    BackendError,
+    BackendUnavailableError,
+    ConnectionLostError,
+    ErrorCode,
+    StaleTermError,
+)
+from citronwood.tasks import cancel_tasks
+
+log = logging.getLogger(__name__)
+
+# A poll is answered at once when the position of the member changes, so its timeout
+# only bounds how long a member may be silent. The primary's leaves room for a stall of
+# 200 ms before it counts as suspect at 450 ms. A replica that follows it is also asked
+# whenever its state matters.
+PRIMARY_POLL_S = 0.15
+REPLICA_POLL_S = 1.0
+# While there is no primary that responds, and for members that do not follow it.
+UNSETTLED_POLL_S = 0.1
+# A stall of 200 ms must not cost the connection, and a silent connection to the
+# primary must be replaced before it counts as suspect.
+POLL_SLACK_S = 0.25
+ANSWER_S = 0.35
+CONNECT_S = 0.3
+RETRY_S = 0.05
+# Without a seat the connection is closed, because only one is to spare under the cap.
+NO_SEAT_RETRY_S = 0.4
+
+PRIMARY = "primary"
+REPLICA = "replica"
+FENCED = "fenced"
+
+
+class MemberStatus(NamedTuple):
+    """Status row of a member.
+
+    ``asked_at`` and ``received_at`` are monotonic times: the row describes a moment
+    between the two.
+    """
+
+    member: str
+    term: int
+    log_term: int
+    received: int
+    applied_term: int
+    applied: int
+    role: str
+    primary_heard_ms: int | None
+    data_age_ms: int | None
+    leaving: bool
+    asked_at: float
+    received_at: float
+
+    @property
+    def log_position(self) -> Position:
+        """Position of the last entry that is stored."""
+        return Position(self.log_term, self.received)
+
+    @property
+    def applied_position(self) -> Position:
+        """Position of the last entry that reads can see."""
+        return Position(self.applied_term, self.applied)
+
+    @property
+    def silent_s(self) -> float:
+        """Seconds since the member last answered."""
+        return monotonic() - self.received_at
+
+    @property
+    def read_age_ms(self) -> float | None:
+        """Upper bound of the age of the data, None when unknown."""
+        if self.data_age_ms is None:
+            return None
+        return self.data_age_ms + (monotonic() - self.asked_at) * 1000.0
+
+
+def _parse_status(
+    name: str, row: dict[str, bytes | None], asked_at: float
+) -> MemberStatus:
+    def number(column: str) -> int:
+        return int(row[column] or 0)
+
+    def optional(column: str) -> int | None:
+        value = row[column]
+        return None if value is None else int(value)
+
+    return MemberStatus(
+        member=name,
+        term=number("term"),
+        log_term=number("log_term"),
+        received=number("received"),
+        applied_term=number("applied_term"),
+        applied=number("applied"),
+        role=(row["role"] or b"").decode(),
+        primary_heard_ms=optional("primary_heard_ms"),
+        data_age_ms=optional("data_age_ms"),
+        leaving=(row["leaving"] or b"0") not in (b"0", b""),
+        asked_at=asked_at,
+        received_at=monotonic(),
+    )
+
+
+class MemberControl:
+    """Two connections to a member: one polls its status, one carries commands.
+
+    ``on_status`` receives every status row, and ``poll_s`` returns how long the next
+    poll may wait after one. The polling connection holds ``seat``; without a seat there
+    is no command connection.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        member: Member,
+        database: str,
+        login: Login,
+        on_status: Callable[[MemberStatus], None],
+        seat: Seat,
+        poll_s: Callable[[MemberStatus], float] = lambda _: UNSETTLED_POLL_S,
+    ) -> None:
+        self._database = database
+        self._login = login
+        self._on_status = on_status
+        self._poll_s = poll_s
+        self._command_connection: BackendConnection | None = None
+        self._command_lock = asyncio.Lock()
+        self._task: asyncio.Task[None] | None = None
+        self._reachable = True
+        self.name = name
+        self.member = member
+        self.seat = seat
+
+    @property
+    def address(self) -> str:
+        """Address as other members reach it."""
+        return f"{self.member.host}:{self.member.port}"
+
+    def start(self) -> None:
+        """Start polling."""
+        self._task = asyncio.create_task(self._watch(), name=f"watch {self.name}")
+
+    async def stop(self) -> None:
+        """Stop polling and close both connections."""
+        await cancel_tasks([self._task])
+        if self._command_connection is not None:
+            self._command_connection.close()
+
+    async def connect(self, deadline: float) -> BackendConnection:
+        """Open a connection to the member."""
+        return await open_connection(
+            self.member.host, self.member.port, self._database, self._login, deadline
+        )
+
+    async def _watch(self) -> None:
+        while True:
+            pause_s = RETRY_S
+            try:
+                await self._poll()
+                pause_s = NO_SEAT_RETRY_S
+            except (BackendError, MySQLError) as error:
+                self._note_reachable(False, str(error))
+            except Exception:
+                # A malformed row, for example, must not end the watch for ever.
+                log.exception("group: the watch of member %s failed", self.name)
+            await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
+
+    async def _poll(self) -> None:
+        """Poll until the connection fails, or return if there is no free seat."""
+        connection = await self.connect(deadline_in(CONNECT_S))
+        try:
+            status = await self._ask(connection, "SHOW GROUP STATUS", ANSWER_S)
+            self._note_reachable(True, "")
+            while await self.seat.ensure(connection):
+                wait_s = self._poll_s(status)
+                status = await self._ask(
+                    connection,
+                    f"CALL group_wait({status.term}, {status.received},"
+                    f" {status.applied}, {wait_s * 1000:.0f})",
+                    wait_s + POLL_SLACK_S,
+                )
+        finally:
+            self.seat.release()
+            connection.close()
+
+    async def _ask(
+        self, connection: BackendConnection, sql: str, limit_s: float
+    ) -> MemberStatus:
+        asked_at = monotonic()
+        rows = await connection.query(sql, asked_at + limit_s)
+        status = _parse_status(self.name, rows[0], asked_at)
+        self._on_status(status)
+        return status
+
+    def _note_reachable(self, reachable: bool, reason: str) -> None:
+        if reachable and not self._reachable:
+            log.info("group: member %s responds again", self.name)
+        elif not reachable and self._reachable:
+            log.warning("group: member %s does not respond: %s", self.name, reason)
+        self._reachable = reachable
+
+    async def read_status(self, deadline: float) -> MemberStatus:
+        """Ask for the status now."""
+        status = await self._command("SHOW GROUP STATUS", deadline)
+        assert status is not None
+        return status
+
+    async def fence(self, term: int, deadline: float) -> MemberStatus:
+        """Raise the member's term or raise ``StaleTermError``."""
+        status = await self._command(f"CALL group_fence({term})", deadline)
+        return status or await self.read_status(deadline)
+
+    async def promote(self, term: int, deadline: float) -> None:
+        """Make the member primary of a term at which it is fenced."""
+        await self._command(f"CALL group_promote({term})", deadline)
+
+    async def follow(self, term: int, address: str, deadline: float) -> None:
+        """Make the member follow a primary."""
+        await self._command(f"CALL group_follow({term}, '{address}')", deadline)
+
+    async def kill(self, connection_id: int, deadline: float) -> None:
+        """End a connection on the member; one that is gone already is no error."""
+        try:
+            await self._command(f"KILL {connection_id}", deadline)
+        except MySQLError:
+            log.debug("group: connection %s had ended already", connection_id)
+
+    async def rows(self, sql: str, deadline: float) -> list[dict[str, bytes | None]]:
+        """Run a command and return its rows."""
+        try:
+            async with until(deadline), self._command_lock:
+                return await self._run_command(sql, deadline)
+        except TimeoutError as error:
+            raise BackendUnavailableError(f"{self.name}: no answer") from error
+
+    async def _run_command(
+        self, sql: str, deadline: float
+    ) -> list[dict[str, bytes | None]]:
+        if not self.seat.is_held:
+            raise BackendUnavailableError(f"{self.name}: no seat")
+        connection = self._command_connection
+        if connection is not None and connection.is_open:
+            # A connection that stopped responding costs part of the time only; the
+            # commands used here may be repeated on a new one.
+            limit = min(deadline, deadline_in(ANSWER_S))
+            try:
+                return await connection.query(sql, limit)
+            except ConnectionLostError:
+                log.debug("group: command connection to %s was lost", self.name)
+        self._command_connection = None
+        connection = await self.connect(deadline)
+        self._command_connection = connection
+        return await connection.query(sql, deadline)
+
+    async def _command(self, sql: str, deadline: float) -> MemberStatus | None:
+        asked_at = monotonic()
+        try:
+            rows = await self.rows(sql, deadline)
+        except MySQLError as error:
+            if error.args[0] == ErrorCode.STALE_TERM:
+                raise StaleTermError(f"{self.name}: {error.args[-1]}") from error
+            raise
+        if not rows or "log_term" not in rows[0]:
+            return None
+        status = _parse_status(self.name, rows[0], asked_at)
+        self._on_status(status)
+        return status
--- /dev/null
+++ b/citronwood/backend/pool.py
@@ -0,0 +1,223 @@
+"""Connections to one member, limited in number."""
+
+import asyncio
+import logging
+import re
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from itertools import count
+from time import monotonic
+
+from asyncmy.errors import MySQLError
+
+from citronwood.backend.connection import BackendConnection
+from citronwood.backend.member import MemberControl
+from citronwood.backend.queue import FairQueue
+from citronwood.deadline import deadline_in, until
+from citronwood.errors import BackendError, BackendUnavailableError
+
+log = logging.getLogger(__name__)
+
+CHECK_AFTER_IDLE_S = 5.0
+CHECK_S = 0.3
+CONNECT_S = 1.0
+CLOSE_S = 0.3
+KILL_RETRY_S = 0.5
+
+# What these statements leave on a connection cannot be seen from outside.
+_SESSION_STATE = re.compile(
+    r"GET_LOCK|RELEASE_(ALL_)?LOCK|\bTEMPORARY\b|\bLOCK\s+TABLES?\b|\bPREPARE\b|@|"
+    r"^\s*(SET|USE|HANDLER|FLUSH|XA)\b",
+    re.I,
+)
+# The search costs up to 20 us; without these the pattern cannot match.
+_STATE_WORDS = ("LOCK", "TEMPORARY", "PREPARE", "@")
+_STATE_STARTS = ("SET", "USE", "HANDLER", "FLUSH", "XA")
+
+
+class Pool:
+    """Connections to one member for the statements of callers."""
+
+    def __init__(
+        self, control: MemberControl, limit: int, weight: Callable[[str], float]
+    ) -> None:
+        self._control = control
+        self._queue = FairQueue(limit, weight)
+        self._slots: dict[BackendConnection, int] = {}
+        self._idle: deque[tuple[float, BackendConnection]] = deque()
+        self._in_use: set[BackendConnection] = set()
+        self._closing: set[asyncio.Task[None]] = set()
+        self._unused = asyncio.Event()
+        self._stopped = False
+
+    @property
+    def in_use(self) -> int:
+        """Number of connections that run a statement or a transaction."""
+        return len(self._in_use)
+
+    @property
+    def connection_ids(self) -> set[int]:
+        """Ids of all connections that have not been ended."""
+        return {connection.connection_id for connection in self._slots}
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait for a connection."""
+        return self._queue.waiting
+
+    def backlog(self, account: str) -> float:
+        """How far an account's next request would be behind those served now."""
+        return self._queue.backlog(account)
+
+    def resize(self, limit: int) -> None:
+        """Change the number of connections allowed."""
+        self._queue.resize(limit)
+        while self._idle and len(self._idle) + self._queue.taken > limit:
+            self._end_idle()
+
+    async def acquire(self, account: str, deadline: float) -> BackendConnection:
+        """Return a connection for one session.
+
+        Raises ``TimeoutError`` if none became free before the deadline and
+        ``BackendUnavailableError`` if the member cannot be reached.
+        """
+        while True:
+            await self._queue.acquire(account, deadline)
+            if not self._idle:
+                connection = await self._open(min(deadline, deadline_in(CONNECT_S)))
+                break
+            since, connection = self._idle.pop()
+            if await self._is_usable(connection, since, deadline):
+                break
+        self._in_use.add(connection)
+        return connection
+
+    async def _is_usable(
+        self, connection: BackendConnection, since: float, deadline: float
+    ) -> bool:
+        """Check an idle connection; one that fails keeps its place until it ends."""
+        usable = False
+        try:
+            recent = monotonic() - since < CHECK_AFTER_IDLE_S
+            usable = connection.is_clean and (
+                recent or await _responds(connection, deadline)
+            )
+        finally:
+            if not usable:
+                connection.close()
+                self._end(connection)
+        return usable
+
+    async def _open(self, deadline: float) -> BackendConnection:
+        """Open a connection at a place; the place is given back on failure."""
+        seat = self._control.seat
+        try:
+            if self._stopped or not seat.is_held:
+                raise BackendUnavailableError(f"{self._control.name}: no seat")
+            connection = await self._control.connect(deadline)
+        except BaseException:
+            self._queue.release()
+            raise
+        used = set(self._slots.values())
+        slot = next(number for number in count() if number not in used)
+        self._slots[connection] = slot
+        try:
+            await seat.claim_slot(connection, slot)
+        except BaseException as error:
+            connection.close()
+            self._end(connection)
+            if isinstance(error, BackendError):
+                raise BackendUnavailableError(str(error)) from error
+            raise
+        return connection
+
+    def release(self, connection: BackendConnection, sql: str = "") -> None:
+        """Take a connection back; it is reused only if it is proved clean."""
+        if connection not in self._in_use:
+            return
+        self._in_use.discard(connection)
+        if not self._in_use:
+            self._unused.set()
+        if connection.is_clean and not self._stopped and not leaves_state(sql):
+            self._idle.append((monotonic(), connection))
+            self._queue.release()
+        else:
+            self._end(connection)
+
+    def abort_all(self) -> None:
+        """Break all connections, so that no statement waits for a dead member."""
+        for connection in list(self._in_use):
+            connection.close()
+        while self._idle:
+            self._end_idle()
+
+    def abort_transactions(self) -> None:
+        """Break the connections that have a transaction open."""
+        for connection in list(self._in_use):
+            if connection.in_transaction:
+                connection.close()
+
+    async def close(self, deadline: float) -> None:
+        """Close idle connections and wait for those in use until the deadline."""
+        self._stopped = True
+        if self._in_use:
+            self._unused.clear()
+            with suppress(TimeoutError):
+                async with until(deadline):
+                    await self._unused.wait()
+        self.abort_all()
+        if self._closing:
+            await asyncio.wait(self._closing, timeout=CLOSE_S)
+        for task in self._closing:
+            task.cancel()
+
+    def _end_idle(self) -> None:
+        self._queue.occupy()
+        self._end(self._idle.popleft()[1])
+
+    def _end(self, connection: BackendConnection) -> None:
+        task = asyncio.create_task(self._finish(connection))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+    async def _finish(self, connection: BackendConnection) -> None:
+        """End a connection on the member before its place is used again.
+
+        A connection that is closed on this side only may still count, and run its
+        statement, on the member.
+        """
+        try:
+            clean = connection.is_clean
+            if not (clean and await connection.quit(deadline_in(CLOSE_S))):
+                connection.close()
+                await self._kill(connection.connection_id)
+        finally:
+            self._slots.pop(connection, None)
+            self._queue.release()
+
+    async def _kill(self, connection_id: int) -> None:
+        while not self._stopped:
+            try:
+                await self._control.kill(connection_id, deadline_in(KILL_RETRY_S))
+                return
+            except BackendError:
+                await asyncio.sleep(KILL_RETRY_S)
+
+
+async def _responds(connection: BackendConnection, deadline: float) -> bool:
+    try:
+        await connection.query("SELECT 1", min(deadline, deadline_in(CHECK_S)))
+    except (BackendError, MySQLError):
+        connection.close()
+        return False
+    return True
+
+
+def leaves_state(sql: str) -> bool:
+    """Whether a statement may leave state of its session on the connection."""
+    text = sql.upper()
+    if not any(word in text for word in _STATE_WORDS):
+        if not text.lstrip().startswith(_STATE_STARTS):
+            return False
+    return _SESSION_STATE.search(sql) is not None
--- /dev/null
+++ b/citronwood/backend/service.py
@@ -0,0 +1,346 @@
+"""Serves the gateways of this VM to the executors of other VMs."""
+
+import asyncio
+import logging
+import secrets
+from collections import OrderedDict, deque
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+from result import Err
+
+from citronwood.backend.api import (
+    Executor,
+    Position,
+    Reply,
+    Request,
+    Row,
+    StatementKind,
+    close_rows,
+)
+from citronwood.backend.keys import KeyCheck
+from citronwood.config.api import ConfigSource
+from citronwood.errors import (
+    CitronwoodError,
+    ErrorCode,
+    MessageError,
+    Outcome,
+    Refusal,
+)
+from citronwood.inner.messages import (
+    EndSession,
+    ExecuteStatement,
+    MoreRows,
+    RowChunk,
+    SessionEnded,
+    StatementReply,
+)
+from citronwood.inner.rpc import Caller, Rpc
+
+log = logging.getLogger(__name__)
+
+# Target size of a chunk, and the longest row that fits into a message by itself.
+CHUNK_BYTES = 256 * 1024
+MAX_ROW_BYTES = 900 * 1024
+# A result whose rows nobody asks for keeps a backend connection busy.
+RESULT_KEPT_S = 30.0
+# Statements that were overtaken by the end of their session are refused.
+REMEMBERED_ENDED_SESSIONS = 10_000
+
+_KINDS = frozenset(kind.value for kind in StatementKind)
+_ErrorTuple = tuple[int, str, str, bool]
+
+
+class _Owner(NamedTuple):
+    name: str
+    incarnation: int
+
+
+class _StoredResult:
+    """Rest of a result whose rows are fetched in chunks."""
+
+    def __init__(self, owner: _Owner, rows: AsyncIterator[list[Row]]) -> None:
+        self.owner = owner
+        self.expiry: asyncio.TimerHandle | None = None
+        self.busy = False
+        self._rows = rows
+        self._buffer: deque[Row] = deque()
+        self._exhausted = False
+
+    @property
+    def more(self) -> bool:
+        """Whether rows may be left."""
+        return bool(self._buffer) or not self._exhausted
+
+    async def next_chunk(self) -> list[Row]:
+        """Return the next rows, at least one unless the result is exhausted."""
+        chunk: list[Row] = []
+        size = 0
+        while size < CHUNK_BYTES:
+            if not self._buffer and not await self._fill():
+                break
+            row_size = _row_bytes(self._buffer[0])
+            if row_size > MAX_ROW_BYTES:
+                raise MessageError(f"a row of {row_size} bytes is too long")
+            if chunk and size + row_size > MAX_ROW_BYTES:
+                break
+            chunk.append(self._buffer.popleft())
+            size += row_size
+        return chunk
+
+    async def close(self) -> None:
+        """Release the backend connection of the result."""
+        if self.expiry is not None:
+            self.expiry.cancel()
+        if not self._exhausted:
+            self._exhausted = True
+            await close_rows(self._rows)
+
+    async def _fill(self) -> bool:
+        while not self._buffer and not self._exhausted:
+            batch = await anext(self._rows, None)
+            if batch is None:
+                self._exhausted = True
+            else:
+                self._buffer.extend(batch)
+        return bool(self._buffer)
+
+
+class ExecutorService:
+    """Serves the executors of this VM's gateways to other VMs."""
+
+    def __init__(
+        self, rpc: Rpc, executor: Executor, config: ConfigSource | None = None
+    ) -> None:
+        self._executor = executor
+        self._config = config
+        self._results: dict[int, _StoredResult] = {}
+        self._next_result_id = secrets.randbits(48) + 1
+        self._sessions: dict[_Owner, set[str]] = {}
+        self._ended: OrderedDict[str, None] = OrderedDict()
+        self._cleanups: set[asyncio.Task[None]] = set()
+        rpc.serve(ExecuteStatement, self._execute)
+        rpc.serve(MoreRows, self._more_rows)
+        rpc.serve(EndSession, self._end_session)
+
+    @property
+    def tracked_sessions(self) -> int:
+        """Number of sessions that would be ended with their VM."""
+        return sum(len(known) for known in self._sessions.values())
+
+    @property
+    def stored_results(self) -> int:
+        """Number of results whose rows are not all fetched."""
+        return len(self._results)
+
+    async def end_vm_sessions(self, name: str, incarnation: int) -> None:
+        """End the sessions of a VM's process that died, and of earlier ones."""
+
+        def is_gone(owner: _Owner) -> bool:
+            return owner.name == name and owner.incarnation <= incarnation
+
+        results = [key for key, one in self._results.items() if is_gone(one.owner)]
+        for result_id in results:
+            await self._drop(result_id)
+        for owner in [owner for owner in self._sessions if is_gone(owner)]:
+            for session_id in self._sessions.pop(owner):
+                await self._end(session_id)
+
+    async def close(self) -> None:
+        """Drop all stored results."""
+        for result_id in list(self._results):
+            await self._drop(result_id)
+
+    async def _execute(
+        self, message: ExecuteStatement, caller: Caller
+    ) -> StatementReply:
+        if message.session_id in self._ended:
+            return _not_run("the session has ended")
+        if message.kind not in _KINDS:
+            return _not_run(f"unknown class of statement {message.kind[:20]!r}")
+        owner = _Owner(caller.name, caller.incarnation)
+        request = _request(message, caller.deadline, self._key_check(message))
+        self._sessions.setdefault(owner, set()).add(message.session_id)
+        result = await self._executor.execute(request)
+        if isinstance(result, Err):
+            if not request.in_transaction or result.err_value.transaction_lost:
+                self._forget_session(owner, message.session_id)
+            return _error_reply(_error_tuple(result.err_value))
+        reply = await self._first_rows(result.ok_value, owner)
+        if not (reply.more or reply.in_transaction):
+            self._forget_session(owner, message.session_id)
+        return reply
+
+    def _key_check(self, message: ExecuteStatement) -> KeyCheck | None:
+        if message.key is None or self._config is None:
+            return None
+        return KeyCheck(self._config, message.account, *message.key)
+
+    def _forget_session(self, owner: _Owner, session_id: str) -> None:
+        """Forget a session that holds nothing; sessions are many and long."""
+        known = self._sessions.get(owner)
+        if known is not None:
+            known.discard(session_id)
+            if not known:
+                del self._sessions[owner]
+
+    async def _first_rows(self, reply: Reply, owner: _Owner) -> StatementReply:
+        rows: list[Row] = []
+        result_id = 0
+        if reply.rows is not None:
+            stored = _StoredResult(owner, reply.rows)
+            try:
+                rows = await stored.next_chunk()
+            except BaseException as error:
+                await stored.close()
+                if isinstance(error, CitronwoodError | OSError):
+                    return _error_reply(_broken_result(error, reply.in_transaction))
+                raise
+            if stored.more:
+                result_id = self._store(stored)
+        position = reply.position
+        return StatementReply(
+            error=None,
+            columns=reply.columns,
+            has_rows=reply.rows is not None,
+            rows=rows,
+            more=result_id != 0,
+            result_id=result_id,
+            affected_rows=reply.affected_rows,
+            last_insert_id=reply.last_insert_id,
+            position=None if position is None else (position.term, position.lsn),
+            in_transaction=reply.in_transaction,
+            served_by=reply.served_by,
+            replica=reply.replica,
+            changed_rows=reply.changed_rows,
+        )
+
+    def _store(self, stored: _StoredResult) -> int:
+        result_id = self._next_result_id
+        self._next_result_id += 1
+        self._results[result_id] = stored
+        self._expire_later(result_id, stored)
+        return result_id
+
+    def _expire_later(self, result_id: int, stored: _StoredResult) -> None:
+        if stored.expiry is not None:
+            stored.expiry.cancel()
+        loop = asyncio.get_running_loop()
+        stored.expiry = loop.call_later(RESULT_KEPT_S, self._expire, result_id)
+
+    def _expire(self, result_id: int) -> None:
+        log.info("gateway: dropped a result that was not fetched")
+        task = asyncio.create_task(self._drop(result_id))
+        self._cleanups.add(task)
+        task.add_done_callback(self._cleanups.discard)
+
+    async def _drop(self, result_id: int) -> None:
+        stored = self._results.pop(result_id, None)
+        if stored is not None:
+            await stored.close()
+
+    async def _more_rows(self, message: MoreRows, caller: Caller) -> RowChunk:
+        stored = self._results.get(message.result_id)
+        owner = _Owner(caller.name, caller.incarnation)
+        if stored is None or stored.owner != owner or stored.busy:
+            refusal = Refusal(ErrorCode.NOT_RUN, "the result is no longer kept")
+            return RowChunk([], False, _error_tuple(refusal))
+        if message.drop:
+            await self._drop(message.result_id)
+            return RowChunk([], False, None)
+        return await self._next_chunk(message.result_id, stored)
+
+    async def _next_chunk(self, result_id: int, stored: _StoredResult) -> RowChunk:
+        stored.busy = True
+        try:
+            rows = await stored.next_chunk()
+        except (CitronwoodError, OSError) as error:
+            await self._drop(result_id)
+            return RowChunk([], False, _broken_result(error, False))
+        finally:
+            stored.busy = False
+        if stored.more:
+            self._expire_later(result_id, stored)
+        else:
+            await self._drop(result_id)
+        return RowChunk(rows, stored.more, None)
+
+    async def _end_session(self, message: EndSession, caller: Caller) -> SessionEnded:
+        owner = _Owner(caller.name, caller.incarnation)
+        self._forget_session(owner, message.session_id)
+        await self._end(message.session_id)
+        return SessionEnded()
+
+    async def _end(self, session_id: str) -> None:
+        self._ended[session_id] = None
+        if len(self._ended) > REMEMBERED_ENDED_SESSIONS:
+            self._ended.popitem(last=False)
+        try:
+            await self._executor.end_session(session_id)
+        except (CitronwoodError, OSError):
+            log.exception("gateway: a session could not be ended")
+
+
+def _request(
+    message: ExecuteStatement, deadline: float, check: KeyCheck | None
+) -> Request:
+    floor = message.floor
+    return Request(
+        session_id=message.session_id,
+        account=message.account,
+        route=message.route,
+        group=message.group,
+        sql=message.sql,
+        kind=StatementKind(message.kind),
+        floor=None if floor is None else Position(*floor),
+        max_age_ms=message.max_age_ms,
+        idempotency_key=message.idempotency_key,
+        in_transaction=message.in_transaction,
+        deadline=deadline,
+        check=check,
+        key=message.key,
+    )
+
+
+def _error_tuple(refusal: Refusal) -> _ErrorTuple:
+    return (
+        int(refusal.code),
+        refusal.message,
+        str(refusal.outcome),
+        refusal.transaction_lost,
+    )
+
+
+def _not_run(reason: str) -> StatementReply:
+    refusal = Refusal(ErrorCode.NOT_RUN, f"Not run: {reason}")
+    return _error_reply(_error_tuple(refusal))
+
+
+def _broken_result(error: Exception, in_transaction: bool) -> _ErrorTuple:
+    message = f"The statement ran, but its result broke off: {error}"
+    refusal = Refusal(
+        ErrorCode.OUTCOME_UNKNOWN, message, Outcome.UNKNOWN, in_transaction
+    )
+    return _error_tuple(refusal)
+
+
+def _error_reply(error: _ErrorTuple) -> StatementReply:
+    return StatementReply(
+        error=error,
+        columns=(),
+        has_rows=False,
+        rows=[],
+        more=False,
+        result_id=0,
+        affected_rows=0,
+        last_insert_id=0,
+        position=None,
+        in_transaction=False,
+        served_by="",
+        replica=False,
+        changed_rows=None,
+    )
+
+
+def _row_bytes(row: Row) -> int:
+    return 8 + sum(5 + len(value) for value in row if value is not None) + len(row)
--- /dev/null
+++ b/citronwood/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/citronwood/cli/application.py
@@ -0,0 +1,36 @@
+"""The ``citronwood`` command."""
+
+from cleo.application import Application
+
+from citronwood import __version__
+from citronwood.cli.demo import DemoCommand
+from citronwood.cli.entry import EntryCommand
+from citronwood.cli.operator import (
+    ConfirmCommand,
+    ExplainCommand,
+    PlanCommand,
+    StatusCommand,
+)
+from citronwood.cli.platform import StandinPlatformCommand
+from citronwood.cli.settings import CheckSettingsCommand
+from citronwood.cli.standin import StandinMemberCommand
+
+
+def create_application() -> Application:
+    """Return the command line application with all commands."""
+    application = Application("citronwood", __version__)
+    application.add(DemoCommand())
+    application.add(EntryCommand())
+    application.add(PlanCommand())
+    application.add(ConfirmCommand())
+    application.add(StatusCommand())
+    application.add(ExplainCommand())
+    application.add(CheckSettingsCommand())
+    application.add(StandinMemberCommand())
+    application.add(StandinPlatformCommand())
+    return application
+
+
+def main() -> int:
+    """Run the command line."""
+    return create_application().run()
--- /dev/null
+++ b/citronwood/cli/demo.py
@@ -0,0 +1,54 @@
+"""``citronwood demo``: a small fleet with stand-ins in one process."""
+
+import asyncio
+import logging
+
+import uvloop
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from citronwood.demo import ACCOUNT, HOST, KEY, ROUTE, open_demo, run_scenario
+
+PORTS_USED = 8
+
+
+class DemoCommand(Command):
+    """Show the promises, or serve a caller's own client."""
+
+    name = "demo"
+    description = "Run two VMs, a database group and the platform in one process."
+    options = [
+        option("port", None, "first entry's TCP port", flag=False, default="3406"),
+        option("serve", None, "keep running for your own MySQL client"),
+    ]
+
+    def handle(self) -> int:
+        """Run the scenario, or serve until interrupted."""
+        logging.basicConfig(level=logging.ERROR)
+        port = int(self.option("port"))
+        if not 1024 <= port <= 65535 - PORTS_USED:
+            self.line_error(f"--port must be from 1024 to {65535 - PORTS_USED}")
+            return 2
+        work = self._serve(port) if self.option("serve") else self._show(port)
+        try:
+            return asyncio.Runner(loop_factory=uvloop.new_event_loop).run(work)
+        except KeyboardInterrupt:
+            return 0
+        except OSError as error:
+            self.line_error(f"cannot start: {error}; choose another --port")
+            return 1
+
+    async def _show(self, port: int) -> int:
+        async with open_demo(port) as demo:
+            kept = await run_scenario(demo, self.line)
+        self.line("all promises were kept" if kept else "a promise was broken")
+        return 0 if kept else 1
+
+    async def _serve(self, port: int) -> int:
+        async with open_demo(port) as demo:
+            for entry in demo.ports.entries:
+                self.line(f"host {HOST} port {entry}")
+            self.line(f"account {ACCOUNT} key {KEY} database {ROUTE}")
+            self.line("press Ctrl-C to stop")
+            await asyncio.Event().wait()
+        return 0
--- /dev/null
+++ b/citronwood/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: model, intents, plans and distribution."""
--- /dev/null
+++ b/citronwood/config/api.py
@@ -0,0 +1,44 @@
+"""What the other parts see of the configuration."""
+
+from typing import Protocol
+
+from citronwood.config.model import Configuration
+
+
+class ConfigSource(Protocol):
+    """The configuration in force on this VM."""
+
+    @property
+    def current(self) -> Configuration:
+        """The newest configuration this VM knows."""
+        ...
+
+    @property
+    def may_serve(self) -> bool:
+        """Whether requests may run: False while this VM is cut off from the fleet."""
+        ...
+
+    async def wait_for(self, version: int, deadline: float) -> bool:
+        """Wait until at least this version is in force; False at the deadline."""
+        ...
+
+
+class FixedConfig:
+    """Configuration that never changes, for tests and tools."""
+
+    def __init__(self, config: Configuration) -> None:
+        self._config = config
+
+    @property
+    def current(self) -> Configuration:
+        """The configuration."""
+        return self._config
+
+    @property
+    def may_serve(self) -> bool:
+        """Always True."""
+        return True
+
+    async def wait_for(self, version: int, deadline: float) -> bool:
+        """Compare the version at once."""
+        return self._config.version >= version
--- /dev/null
+++ b/citronwood/config/store.py
@@ -0,0 +1,39 @@
+"""Configuration and plans as objects of the platform's store."""
+
+from typing import Any
+
+from pydantic import ValidationError
+
+from citronwood.config.model import Configuration
+from citronwood.errors import ObjectNotFoundError, PlatformError
+from citronwood.platform.api import PlatformClient, Versioned
+
+CONFIG_KIND = "config"
+CONFIG_NAME = "current"
+PLAN_KIND = "plan"
+# Calls that an operator waits for.
+URGENT_CALLS = frozenset({f"get.{PLAN_KIND}", f"put.{PLAN_KIND}", f"put.{CONFIG_KIND}"})
+
+
+def to_document(config: Configuration) -> dict[str, Any]:
+    """Return what is stored: everything but the version, which is the store's."""
+    return config.model_dump(mode="json", exclude={"version"})
+
+
+def from_versioned(found: Versioned) -> Configuration:
+    """Return the configuration with the store's version of the object."""
+    try:
+        return Configuration.model_validate({**found.value, "version": found.version})
+    except (ValidationError, TypeError) as error:
+        raise PlatformError(f"the stored configuration is invalid: {error}") from None
+
+
+async def read_configuration(
+    platform: PlatformClient, deadline: float
+) -> Configuration:
+    """Return the newest configuration; the empty one before the first plan."""
+    try:
+        found = await platform.get(CONFIG_KIND, CONFIG_NAME, deadline)
+    except ObjectNotFoundError:
+        return Configuration()
+    return from_versioned(found)
--- /dev/null
+++ b/citronwood/deadline.py
@@ -0,0 +1,24 @@
+"""Deadlines on the monotonic clock."""
+
+import asyncio
+from time import monotonic
+
+
+def deadline_in(seconds: float) -> float:
+    """Return the deadline that lies this many seconds ahead."""
+    return monotonic() + seconds
+
+
+def time_left(deadline: float) -> float:
+    """Return the seconds until the deadline, zero when it has passed."""
+    return max(0.0, deadline - monotonic())
+
+
+def has_passed(deadline: float) -> bool:
+    """Tell whether the deadline has passed."""
+    return monotonic() >= deadline
+
+
+def until(deadline: float) -> asyncio.Timeout:
+    """Return a context manager that raises ``TimeoutError`` at the deadline."""
+    return asyncio.timeout(time_left(deadline))
--- /dev/null
+++ b/citronwood/errors.py
@@ -0,0 +1,120 @@
+"""Exceptions, error codes and refusals of all parts."""
+
+from enum import IntEnum, StrEnum
+from typing import NamedTuple
+
+
+class ErrorCode(IntEnum):
+    """Error codes that callers see; below 9000 they are MySQL's own."""
+
+    TOO_MANY_CONNECTIONS = 1040
+    ACCESS_DENIED = 1045
+    UNKNOWN_COMMAND = 1047
+    UNKNOWN_ROUTE = 1049
+    SERVER_SHUTDOWN = 1053
+    STATEMENT_TOO_LONG = 1153
+    READ_ONLY = 1290
+    STALE_TERM = 3100
+    NOT_RUN = 9001
+    OUTCOME_UNKNOWN = 9002
+    RATE_LIMITED = 9003
+    KEY_WITHDRAWN = 9004
+    TRANSACTION_FAILED = 9005
+    IDEMPOTENCY_KEY_REUSED = 9006
+    VM_ISOLATED = 9007
+    ROUTE_FORBIDDEN = 9008
+    BAD_SESSION_TOKEN = 9009
+    ALREADY_COMMITTED = 9010
+
+
+class Outcome(StrEnum):
+    """What is known about a request that was not answered with a result."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+
+
+class Refusal(NamedTuple):
+    """Error answer to a request.
+
+    ``FAILED`` means that the backend server ran the statement and reported an
+    error of its own, whose code is passed on.
+    """
+
+    code: int
+    message: str
+    outcome: Outcome = Outcome.NOT_RUN
+    transaction_lost: bool = False
+
+
+class CitronwoodError(Exception):
+    """Base class of all exceptions raised by citronwood."""
+
+
+class SettingsError(CitronwoodError):
+    """The settings are invalid; carries all findings."""
+
+    def __init__(self, findings: list[str]) -> None:
+        super().__init__("; ".join(findings))
+        self.findings = findings
+
+
+class DeadlineExceededError(CitronwoodError):
+    """An operation did not finish before its deadline."""
+
+
+class PlatformError(CitronwoodError):
+    """The platform's service failed or could not be reached."""
+
+
+class PlatformUnavailableError(PlatformError):
+    """The platform's service gave no usable answer before the deadline."""
+
+
+class VersionConflictError(PlatformError):
+    """A conditional update found another version than the expected one."""
+
+    def __init__(self, kind: str, name: str, expected: int, actual: int) -> None:
+        super().__init__(f"{kind}/{name}: expected version {expected}, found {actual}")
+        self.expected = expected
+        self.actual = actual
+
+
+class ObjectNotFoundError(PlatformError):
+    """The platform's store holds no object of this name."""
+
+
+class MessageError(CitronwoodError):
+    """A message between VMs is malformed, oversized or of an unknown type."""
+
+
+class PeerUnavailableError(CitronwoodError):
+    """A message could not be handed to the peer; it was not processed."""
+
+
+class CallFailedError(CitronwoodError):
+    """The peer failed while it processed a call; the outcome is unknown."""
+
+
+class BackendError(CitronwoodError):
+    """A backend server could not be used."""
+
+
+class BackendUnavailableError(BackendError):
+    """No connection to the backend server could be made or used."""
+
+
+class ConnectionLostError(BackendError):
+    """A backend connection broke or gave no answer in time.
+
+    ``sent`` tells whether the statement may have reached the backend server.
+    """
+
+    def __init__(self, message: str, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+class StaleTermError(BackendError):
+    """A backend server has moved on to a higher term."""
--- /dev/null
+++ b/citronwood/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet: membership, placement of roles and assembly of a process."""
--- /dev/null
+++ b/citronwood/fleet/api.py
@@ -0,0 +1,27 @@
+"""What the other parts see of the fleet."""
+
+from typing import Protocol
+
+from citronwood.inner.messages import VmState
+
+
+class Membership(Protocol):
+    """The VMs of the fleet as this VM knows them."""
+
+    @property
+    def own(self) -> VmState:
+        """Entry of the VM itself."""
+        ...
+
+    @property
+    def live(self) -> tuple[VmState, ...]:
+        """VMs that may take roles, this one included, sorted by name."""
+        ...
+
+    def is_dead(self, name: str) -> bool:
+        """Whether the VM is known to have failed or left."""
+        ...
+
+    def heard_majority(self, within_s: float) -> bool:
+        """Whether a majority of the listed VMs was heard from recently."""
+        ...
--- /dev/null
+++ b/citronwood/fleet/node.py
@@ -0,0 +1,275 @@
+"""Assembly of the process that runs on every VM."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from ssl import SSLContext
+from typing import Any, NamedTuple
+
+from aiomisc import Service
+
+from citronwood.backend.api import Executor
+from citronwood.backend.connection import Login
+from citronwood.backend.remote import RemoteExecutor
+from citronwood.backend.service import ExecutorService
+from citronwood.config.distribution import ConfigDistributor, vms_behind
+from citronwood.config.plan import Planner
+from citronwood.deadline import deadline_in
+from citronwood.fleet.copies import ConfigurationCopies
+from citronwood.fleet.entries import Change
+from citronwood.fleet.gateways import GatewayHost
+from citronwood.fleet.membership import FleetMembership
+from citronwood.fleet.reports import FleetReports
+from citronwood.fleet.routing import GroupRouter
+from citronwood.inner.messages import Heartbeat, VmState
+from citronwood.inner.rpc import Caller, Rpc
+from citronwood.limits.limiter import FleetLimiter
+from citronwood.limits.shares import HOME_AFTER_S
+from citronwood.limits.slots import SlotKeeper
+from citronwood.metrics import Metrics
+from citronwood.mysql.server import MysqlService
+from citronwood.mysql.session import CallerSession, EntryServices
+from citronwood.mysql.throttle import LoginThrottle
+from citronwood.operator.http import OperatorApi, OperatorSources
+from citronwood.operator.records import Records
+from citronwood.platform.http import HttpPlatformClient
+
+log = logging.getLogger(__name__)
+
+START_S = 5.0
+LEAVE_NOTICE_S = 0.5
+
+
+class NodeOptions(NamedTuple):
+    """What one VM needs to know about itself.
+
+    ``inner_url`` is the address to listen on for other VMs, ``drain_s`` the time that
+    open transactions get at a planned stop. Without ``operator_port`` there is no
+    operator API.
+    """
+
+    name: str
+    failure_domain: str
+    host: str
+    port: int
+    inner_url: str
+    login: Login
+    secret: bytes
+    seeds: tuple[str, ...] = ()
+    advertised_url: str | None = None
+    ssl: SSLContext | None = None
+    drain_s: float = 10.0
+    operator_host: str = "127.0.0.1"
+    operator_port: int | None = None
+    operator_token: str = ""
+
+
+class Node:
+    """All parts of one VM, wired together."""
+
+    def __init__(
+        self, options: NodeOptions, platform: HttpPlatformClient, metrics: Metrics
+    ) -> None:
+        self.options = options
+        self.platform = platform
+        self.metrics = metrics
+        self.records = Records()
+        self.rpc = Rpc(options.name, options.secret, metrics)
+        self.membership: FleetMembership
+        self.config: ConfigDistributor
+        self.gateways: GatewayHost
+        self.router: GroupRouter
+        self.limiter: FleetLimiter
+        self._slots: SlotKeeper
+        self.mysql: MysqlService
+        self._copies: ConfigurationCopies
+        self._executors: ExecutorService
+        self._reports: FleetReports
+        self._operator: OperatorApi | None = None
+        self._remotes: dict[str, RemoteExecutor] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Start every part; callers are accepted last."""
+        options = self.options
+        self.rpc.start(options.inner_url, options.advertised_url)
+        self._join_fleet()
+        self._take_roles()
+        self.membership.start()
+        if not await self.config.start(deadline_in(START_S)):
+            log.warning("entry: no configuration yet; requests are refused until then")
+        self._slots.start()
+        self.limiter.start()
+        self.gateways.start()
+        await self._wait_for_share()
+        await self._serve_operators()
+        await self._serve_callers()
+        log.info("entry: %s serves callers on port %d", options.name, options.port)
+
+    async def stop(self) -> None:
+        """Finish all requests, give back what this VM holds, and leave the fleet."""
+        deadline = deadline_in(self.options.drain_s)
+        log.info("entry: planned stop of %s", self.options.name)
+        self.membership.leave()
+        # Peers stop choosing this VM as gateway before its gateways stop.
+        await asyncio.gather(self.mysql.drain(deadline), asyncio.sleep(LEAVE_NOTICE_S))
+        await self.mysql.stop()
+        await self.gateways.stop(deadline)
+        await self._executors.close()
+        self.membership.end()
+        await self._slots.release()
+        await self.limiter.close()
+        await self.config.stop()
+        await self.membership.close()
+        if self._operator is not None:
+            await self._operator.stop()
+        await self.rpc.close()
+        log.info("entry: %s has stopped", self.options.name)
+
+    def _join_fleet(self) -> None:
+        options = self.options
+        self.membership = FleetMembership(
+            self.rpc,
+            options.failure_domain,
+            options.seeds,
+            self.platform,
+            self._config_state,
+        )
+        self._copies = ConfigurationCopies(self.rpc, self.membership)
+        self.config = ConfigDistributor(
+            self.platform, self.membership, self.metrics, self._copies.fetch
+        )
+        self._copies.serve(self.config)
+        self.membership.on_heartbeat(self._on_heartbeat)
+        self.membership.on_change(self._on_change)
+
+    def _take_roles(self) -> None:
+        options = self.options
+        self.gateways = GatewayHost(
+            self.membership, self.config, options.login, self.records, self.metrics
+        )
+        self._executors = ExecutorService(self.rpc, self.gateways, self.config)
+        self.router = GroupRouter(
+            self.membership, self.gateways, self._remote, self.gateways.choice
+        )
+        self.limiter = FleetLimiter(
+            self.rpc, self.config, self.membership, self.metrics, self.records
+        )
+        self._slots = SlotKeeper(
+            self.platform, options.name, self.config, self.limiter.shares
+        )
+
+    async def _serve_callers(self) -> None:
+        services = EntryServices(
+            config=self.config,
+            executor=self.router,
+            limiter=self.limiter,
+            metrics=self.metrics,
+            records=self.records,
+            secret=self.options.secret,
+            throttle=LoginThrottle(),
+        )
+        self.mysql = MysqlService(
+            lambda _: CallerSession(services),
+            ssl=self.options.ssl,
+            address=self.options.host,
+            port=self.options.port,
+        )
+        self.mysql.set_loop(asyncio.get_running_loop())
+        await self.mysql.start()
+
+    async def _wait_for_share(self) -> None:
+        """Wait until the rate share of this VM can be used.
+
+        A fleet whose VMs all start at once would refuse its first requests otherwise.
+        """
+        deadline = deadline_in(START_S)
+        await self._slots.wait_claimed(deadline)
+        if self.limiter.shares.slot is not None:
+            await asyncio.sleep(HOME_AFTER_S)
+
+    async def _serve_operators(self) -> None:
+        options = self.options
+        self._reports = FleetReports(
+            self.rpc, self.membership, self.records, lambda: self.gateways.gateways
+        )
+        if options.operator_port is None:
+            return
+        sources = OperatorSources(
+            planner=self._planner(),
+            config=self.config,
+            membership=self.membership,
+            metrics=self.metrics,
+            records=self.records,
+            platform=lambda: self.platform.status,
+            groups=self._reports.groups,
+            peer_records=self._reports.peer_records,
+        )
+        self._operator = OperatorApi(
+            sources,
+            options.operator_token,
+            options.operator_host,
+            options.operator_port,
+        )
+        await self._operator.start()
+
+    def _planner(self) -> Planner:
+        return Planner(
+            self.platform,
+            terms=lambda: self._reports.terms,
+            on_applied=self.config.take,
+            behind=lambda version: vms_behind(self.membership, version),
+        )
+
+    def _config_state(self) -> tuple[int, int | None]:
+        return self.config.version, self.config.vouch_age_ms
+
+    def _on_heartbeat(self, caller: Caller, heartbeat: Heartbeat) -> None:
+        self.config.heard_vouch(heartbeat.config_version, heartbeat.vouch_age_ms)
+        if heartbeat.config_version > self.config.version:
+            self._copies.fetch_soon(caller.url)
+
+    def _on_change(self, change: Change) -> None:
+        if change.ended_incarnation is not None:
+            self._spawn(
+                self._executors.end_vm_sessions(change.name, change.ended_incarnation)
+            )
+
+    def _remote(self, vm: VmState) -> Executor:
+        remote = self._remotes.get(vm.url)
+        if remote is None:
+            remote = self._remotes[vm.url] = RemoteExecutor(self.rpc, vm.url)
+        return remote
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+class NodeService(Service):  # type: ignore[misc]
+    """Runs a node inside an ``aiomisc`` entrypoint.
+
+    ``make_node`` runs in the event loop; ``finish`` closes what it has opened.
+    """
+
+    def __init__(
+        self,
+        make_node: Callable[[], Awaitable[Node]],
+        finish: Callable[[], Awaitable[None]],
+    ) -> None:
+        super().__init__()
+        self._make_node = make_node
+        self._finish = finish
+        self.node: Node | None = None
+
+    async def start(self) -> None:
+        """Start the node."""
+        self.node = await self._make_node()
+        await self.node.start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop the node gracefully."""
+        if self.node is not None:
+            await self.node.stop()
+        await self._finish()
--- /dev/null
+++ b/citronwood/fleet/reports.py
@@ -0,0 +1,127 @@
+"""Status and explain records that VMs tell each other for the operator API."""
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from citronwood.backend.gateway import Gateway
+from citronwood.deadline import deadline_in
+from citronwood.errors import CitronwoodError
+from citronwood.fleet.api import Membership
+from citronwood.inner.messages import GatewayStatus, StatusReport, VmState
+from citronwood.inner.rpc import Caller, Rpc
+from citronwood.operator.http import own_records
+from citronwood.operator.records import Records
+
+log = logging.getLogger(__name__)
+
+Document = dict[str, Any]
+
+ASK_S = 1.0
+# Keeps a report well below the largest message.
+MAX_RECORDS = 1000
+MAX_PEERS_AT_ONCE = 16
+
+
+class FleetReports:
+    """Collects reports of all live VMs and answers other VMs."""
+
+    def __init__(
+        self,
+        rpc: Rpc,
+        membership: Membership,
+        records: Records,
+        gateways: Callable[[], dict[str, Gateway]],
+    ) -> None:
+        self._rpc = rpc
+        self._membership = membership
+        self._records = records
+        self._gateways = gateways
+        self._terms: dict[str, int] = {}
+        rpc.serve(GatewayStatus, self._answer)
+
+    @property
+    def terms(self) -> dict[str, int]:
+        """Terms of the groups as last reported by their gateways."""
+        return dict(self._terms)
+
+    async def groups(self) -> Document:
+        """Return primary, term and members of every group, from its gateways."""
+        found: Document = {}
+        for report in [self._own_report(None), *await self._ask_peers(None)]:
+            for name, group in report["groups"].items():
+                known = found.get(name)
+                if known is None or group["term"] > known["term"]:
+                    found[name] = group
+        self._terms.update({name: group["term"] for name, group in found.items()})
+        return found
+
+    async def peer_records(
+        self, kind: str | None, account: str | None
+    ) -> list[Document]:
+        """Return the explain records of the other VMs."""
+        found = []
+        for report in await self._ask_peers(account):
+            found += [r for r in report["records"] if kind in (None, r["kind"])]
+        return found
+
+    async def _ask_peers(self, account: str | None) -> list[Document]:
+        own = self._membership.own.name
+        peers = [vm for vm in self._membership.live if vm.name != own]
+        limit = asyncio.Semaphore(MAX_PEERS_AT_ONCE)
+        answers = await asyncio.gather(*(self._ask(vm, account, limit) for vm in peers))
+        return [answer for answer in answers if answer is not None]
+
+    async def _ask(
+        self, vm: VmState, account: str | None, limit: asyncio.Semaphore
+    ) -> Document | None:
+        async with limit:
+            try:
+                report = await self._rpc.call(
+                    vm.url, GatewayStatus(account), StatusReport, deadline_in(ASK_S)
+                )
+            except CitronwoodError as error:
+                log.info("operator: no report from %s: %s", vm.name, error)
+                return None
+        document: Document = json.loads(report.document)
+        return document
+
+    async def _answer(self, message: GatewayStatus, caller: Caller) -> StatusReport:
+        report = self._own_report(message.account)
+        return StatusReport(json.dumps(report).encode())
+
+    def _own_report(self, account: str | None) -> Document:
+        name = self._membership.own.name
+        records = own_records(self._records, name, None, account)
+        records.sort(key=lambda record: record["at"])
+        return {
+            "groups": {
+                group: _describe_group(gateway, name)
+                for group, gateway in self._gateways().items()
+            },
+            "records": records[-MAX_RECORDS:],
+        }
+
+
+def _describe_group(gateway: Gateway, vm: str) -> Document:
+    view = gateway.view
+    primary = view.primary
+    return {
+        "reported_by": vm,
+        "term": view.highest_term,
+        "primary": None if primary is None else primary.member,
+        "open_transactions": gateway.open_transactions,
+        "members": {
+            status.member: {
+                "role": status.role,
+                "term": status.term,
+                "received": status.received,
+                "applied": status.applied,
+                "leaving": view.is_leaving(status),
+                "silent_ms": round(status.silent_s * 1000),
+            }
+            for status in view.statuses
+        },
+    }
--- /dev/null
+++ b/citronwood/inner/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol between the VMs."""
--- /dev/null
+++ b/citronwood/inner/refusals.py
@@ -0,0 +1,26 @@
+"""Counting and logging of messages that were refused."""
+
+import logging
+from time import monotonic
+
+from citronwood.metrics import Metrics
+
+log = logging.getLogger(__name__)
+
+LOG_INTERVAL_S = 5.0
+
+
+class RefusalCounter:
+    """Counts refused messages by reason and logs each reason at a bounded rate."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._next_log: dict[str, float] = {}
+
+    def refuse(self, reason: str, detail: str) -> None:
+        """Count one message; ``reason`` is one of a few fixed words."""
+        self._metrics.count(f"inner.refused.{reason}")
+        now = monotonic()
+        if now >= self._next_log.get(reason, 0.0):
+            self._next_log[reason] = now + LOG_INTERVAL_S
+            log.warning("inner: message refused (%s): %s", reason, detail[:200])
--- /dev/null
+++ b/citronwood/inner/rpc.py
@@ -0,0 +1,311 @@
+"""Calls and notifications between VMs.
+
+A call ends in exactly one of three ways: with its answer; with
+``PeerUnavailableError``, when it is certain that the peer did not process it; or with
+``DeadlineExceededError`` or ``CallFailedError``, when the outcome is unknown. Call ids
+start at a random number for each process and are never reused, so a late answer never
+reaches another call, not even one of a successor at the same address.
+"""
+
+import asyncio
+import logging
+import secrets
+import time
+from collections.abc import Awaitable, Callable
+from time import monotonic
+from typing import Any, NamedTuple, TypeVar
+
+from citronwood.deadline import time_left
+from citronwood.errors import (
+    CallFailedError,
+    DeadlineExceededError,
+    MessageError,
+    PeerUnavailableError,
+)
+from citronwood.inner.codec import Codec, decode_body, encode_body, encode_envelope
+from citronwood.inner.messages import (
+    PROTOCOL_VERSION,
+    CallRefused,
+    Envelope,
+    Reconnect,
+)
+from citronwood.inner.peer import Outgoing
+from citronwood.inner.refusals import RefusalCounter
+from citronwood.inner.transport import Transport
+from citronwood.metrics import Metrics
+from citronwood.tasks import cancel_tasks
+
+log = logging.getLogger(__name__)
+
+MAX_RUNNING_HANDLERS = 10_000
+MAX_TIME_LEFT_MS = 3_600_000
+# Peers that were heard from are remembered for redialling; bounded for restarts.
+MAX_HEARD_PEERS = 4096
+
+_Message = TypeVar("_Message")
+_Answer = TypeVar("_Answer")
+
+
+class Caller(NamedTuple):
+    """Sender of a message, with the deadline of its call."""
+
+    name: str
+    incarnation: int
+    url: str
+    deadline: float
+
+
+class _PendingCall(NamedTuple):
+    url: str
+    answer_type: type
+    future: asyncio.Future[Any]
+
+
+class _Handler(NamedTuple):
+    message_type: type
+    answers: bool
+    function: Callable[[Any, Caller], Any]
+
+
+class Rpc:
+    """Calls to other VMs and handlers for their calls."""
+
+    def __init__(self, name: str, secret: bytes, metrics: Metrics) -> None:
+        self._name = name
+        self._url = ""
+        # Wall clock, so that it rises with every start of the process.
+        self._incarnation = time.time_ns() // 1_000_000
+        self._metrics = metrics
+        self._refusals = RefusalCounter(metrics)
+        self._transport = Transport(Codec(secret), self._refusals)
+        self._handlers: dict[str, _Handler] = {}
+        self._pending: dict[int, _PendingCall] = {}
+        self._next_call_id = secrets.randbits(60) + 1
+        self._running: set[asyncio.Task[None]] = set()
+        self._heard: dict[str, float] = {}
+        self._asked_to_reconnect: dict[str, float] = {}
+        self.listen(Reconnect, self._on_reconnect)
+
+    @property
+    def name(self) -> str:
+        """Name of this VM."""
+        return self._name
+
+    @property
+    def incarnation(self) -> int:
+        """Number that rises with every start of this process."""
+        return self._incarnation
+
+    def raise_incarnation(self, above: int) -> None:
+        """Choose a higher incarnation than one that the fleet still remembers."""
+        self._incarnation = max(self._incarnation, above + 1)
+
+    @property
+    def url(self) -> str:
+        """Address at which other VMs reach this one."""
+        return self._url
+
+    @property
+    def transport(self) -> Transport:
+        """The transport, for its counters."""
+        return self._transport
+
+    def start(self, listen_url: str, advertised_url: str | None = None) -> None:
+        """Listen for messages; port 0 selects a free port."""
+        actual = self._transport.listen(listen_url, self._receive)
+        self._url = advertised_url or actual
+
+    async def close(self) -> None:
+        """Stop listening, end running handlers and fail pending calls."""
+        await self._transport.close()
+        await cancel_tasks(self._running)
+        for call in self._pending.values():
+            if not call.future.done():
+                call.future.set_exception(CallFailedError("this VM is stopping"))
+
+    def serve(
+        self,
+        message_type: type[_Message],
+        handler: Callable[[_Message, Caller], Awaitable[Any]],
+    ) -> None:
+        """Answer calls of this type; each runs in a task of its own."""
+        self._handlers[message_type.__name__] = _Handler(message_type, True, handler)
+
+    def listen(
+        self, message_type: type[_Message], handler: Callable[[_Message, Caller], None]
+    ) -> None:
+        """Pass notifications of this type to a function that does not wait."""
+        self._handlers[message_type.__name__] = _Handler(message_type, False, handler)
+
+    def notify(self, url: str, message: Any) -> None:
+        """Send a message without an answer; a full queue drops it."""
+        try:
+            self._post(url, message, 0, False, 0)
+        except PeerUnavailableError as error:
+            self._refusals.refuse("queue_full", str(error))
+
+    def redial(self, url: str) -> None:
+        """Replace the connections to and from a peer that is not heard any more."""
+        self._transport.redial(url)
+        now = monotonic()
+        if now >= self._asked_to_reconnect.get(url, 0.0):
+            if len(self._asked_to_reconnect) >= MAX_HEARD_PEERS:
+                self._asked_to_reconnect.clear()
+            self._asked_to_reconnect[url] = now + 1.0
+            self.notify(url, Reconnect())
+
+    async def call(
+        self, url: str, message: Any, answer_type: type[_Answer], deadline: float
+    ) -> _Answer:
+        """Call a peer and return its answer.
+
+        Raises
+        ------
+        PeerUnavailableError
+            The peer certainly did not process the call.
+        DeadlineExceededError, CallFailedError
+            The call may have been processed.
+        """
+        started = monotonic()
+        call_id = self._next_call_id
+        self._next_call_id += 1
+        left_ms = int((deadline - started) * 1000)
+        if left_ms <= 0:
+            raise PeerUnavailableError("no time is left for the call")
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
+        item = self._post(url, message, call_id, False, left_ms)
+        self._pending[call_id] = _PendingCall(url, answer_type, future)
+        # A timeout that cancels the task takes four times as many instructions.
+        timer = loop.call_later(time_left(deadline), _expire, future)
+        try:
+            answer: _Answer = await future
+        except TimeoutError:
+            raise self._timeout_error(url, item, started) from None
+        finally:
+            timer.cancel()
+            item.cancelled = not item.handed_over
+            del self._pending[call_id]
+        return answer
+
+    def _timeout_error(self, url: str, item: Outgoing, started: float) -> Exception:
+        if self._heard.get(url, 0.0) < started:
+            self.redial(url)
+        if not item.handed_over:
+            return PeerUnavailableError(f"{url} accepted nothing before the deadline")
+        return DeadlineExceededError(f"{url} gave no answer before the deadline")
+
+    def _post(
+        self, url: str, message: Any, call_id: int, is_reply: bool, left_ms: int
+    ) -> Outgoing:
+        envelope = Envelope(
+            version=PROTOCOL_VERSION,
+            kind=type(message).__name__,
+            sender=self._name,
+            incarnation=self._incarnation,
+            sender_url=self._url,
+            call_id=call_id,
+            is_reply=is_reply,
+            time_left_ms=min(left_ms, MAX_TIME_LEFT_MS),
+            body=encode_body(message),
+        )
+        return self._transport.send(url, encode_envelope(envelope))
+
+    def _receive(self, envelope: Envelope) -> None:
+        if envelope.version != PROTOCOL_VERSION:
+            self._refusals.refuse("foreign_version", f"version {envelope.version}")
+            return
+        if len(self._heard) >= MAX_HEARD_PEERS:
+            self._heard.clear()
+        self._heard[envelope.sender_url] = monotonic()
+        if envelope.is_reply:
+            self._receive_answer(envelope)
+        else:
+            self._receive_message(envelope)
+
+    def _receive_answer(self, envelope: Envelope) -> None:
+        call = self._pending.get(envelope.call_id)
+        if call is None or call.future.done():
+            self._metrics.count("inner.late_answers")
+            return
+        if call.url != envelope.sender_url:
+            self._refusals.refuse("foreign_answer", f"from {envelope.sender_url}")
+            return
+        try:
+            if envelope.kind == CallRefused.__name__:
+                refused = decode_body(envelope.body, CallRefused)
+                call.future.set_exception(_refusal_error(refused))
+                return
+            if envelope.kind != call.answer_type.__name__:
+                raise MessageError("unknown_type", f"answer {envelope.kind[:40]}")
+            call.future.set_result(decode_body(envelope.body, call.answer_type))
+        except MessageError as error:
+            self._refusals.refuse(*map(str, error.args))
+            call.future.set_exception(CallFailedError(str(error)))
+
+    def _receive_message(self, envelope: Envelope) -> None:
+        handler = self._handlers.get(envelope.kind)
+        if handler is None:
+            self._refuse(envelope, "unknown_type", envelope.kind[:40])
+            return
+        try:
+            message: Any = decode_body(envelope.body, handler.message_type)
+        except MessageError as error:
+            self._refuse(envelope, str(error.args[0]), str(error.args[-1]))
+            return
+        left_ms = max(0, min(envelope.time_left_ms, MAX_TIME_LEFT_MS))
+        deadline = monotonic() + left_ms / 1000
+        caller = Caller(
+            envelope.sender, envelope.incarnation, envelope.sender_url, deadline
+        )
+        if not handler.answers:
+            handler.function(message, caller)
+        elif len(self._running) >= MAX_RUNNING_HANDLERS:
+            self._refuse(envelope, "overloaded", envelope.kind)
+        else:
+            work = self._answer(handler, message, caller, envelope.call_id)
+            task = asyncio.create_task(work)
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+
+    def _refuse(self, envelope: Envelope, reason: str, detail: str) -> None:
+        self._refusals.refuse(reason, f"{detail} from {envelope.sender[:64]}")
+        if envelope.call_id:
+            answer = CallRefused(not_run=True, reason=reason)
+            self._reply(envelope.sender_url, envelope.call_id, answer)
+
+    async def _answer(
+        self, handler: _Handler, message: Any, caller: Caller, call_id: int
+    ) -> None:
+        try:
+            answer = await handler.function(message, caller)
+        except Exception as error:
+            log.exception("inner: handler of %s failed", handler.message_type.__name__)
+            self._metrics.count("inner.handler_failed")
+            answer = CallRefused(not_run=False, reason=type(error).__name__)
+        if answer is not None and call_id:
+            self._reply(caller.url, call_id, answer)
+
+    def _reply(self, url: str, call_id: int, answer: Any) -> None:
+        try:
+            self._post(url, answer, call_id, True, 0)
+        except PeerUnavailableError as error:
+            self._refusals.refuse("queue_full", str(error))
+        except MessageError as error:
+            self._refusals.refuse(*map(str, error.args))
+            refused = CallRefused(not_run=False, reason="answer too long")
+            self._post(url, refused, call_id, True, 0)
+
+    def _on_reconnect(self, message: Reconnect, caller: Caller) -> None:
+        self._transport.redial(caller.url)
+
+
+def _expire(future: asyncio.Future[Any]) -> None:
+    if not future.done():
+        future.set_exception(TimeoutError())
+
+
+def _refusal_error(refused: CallRefused) -> Exception:
+    if refused.not_run:
+        return PeerUnavailableError(f"refused by the peer: {refused.reason}")
+    return CallFailedError(f"the peer failed: {refused.reason}")
--- /dev/null
+++ b/citronwood/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate and burst of client accounts over the whole fleet."""
--- /dev/null
+++ b/citronwood/limits/api.py
@@ -0,0 +1,23 @@
+"""What the callers' side sees of rate and burst."""
+
+from typing import Protocol
+
+from result import Ok, Result
+
+from citronwood.errors import Refusal
+
+
+class Limiter(Protocol):
+    """Admits requests within the rate and burst of their client account."""
+
+    async def acquire(self, account: str, deadline: float) -> Result[None, Refusal]:
+        """Take one token, waiting for it at most until the deadline."""
+        ...
+
+
+class Unlimited:
+    """Limiter that admits everything, for tests and tools."""
+
+    async def acquire(self, account: str, deadline: float) -> Result[None, Refusal]:
+        """Admit the request."""
+        return Ok(None)
--- /dev/null
+++ b/citronwood/limits/bucket.py
@@ -0,0 +1,67 @@
+"""Token bucket of one share of an account's rate and burst."""
+
+
+class ShareBucket:
+    """Tokens of one share: a level, and tokens drawn but perhaps not yet used.
+
+    The level and the drawn tokens together never exceed the capacity, so the tokens
+    that can be used within any window of length W are at most capacity + rate * W.
+    """
+
+    __slots__ = ("_drawn", "_level", "_updated_at", "capacity", "rate")
+
+    def __init__(self, capacity: float, rate: float, now: float) -> None:
+        self.capacity = capacity
+        self.rate = rate
+        self._level = 0.0
+        self._drawn = 0.0
+        self._updated_at = now
+
+    def level(self, now: float) -> float:
+        """Return the tokens that can be drawn."""
+        if now > self._updated_at:
+            filled = self._level + (now - self._updated_at) * self.rate
+            self._level = min(filled, self.capacity - self._drawn)
+            self._updated_at = now
+        return max(0.0, self._level)
+
+    def resize(self, capacity: float, rate: float, now: float) -> None:
+        """Change capacity and rate; tokens above the capacity are dropped."""
+        self.level(now)
+        self.capacity = capacity
+        self.rate = rate
+        self._level = min(self._level, capacity - self._drawn)
+
+    def deposit(self, amount: float, now: float) -> None:
+        """Add tokens that existed elsewhere, up to the capacity."""
+        self._level = min(self.level(now) + amount, self.capacity - self._drawn)
+
+    def draw(self, amount: float, now: float) -> None:
+        """Move tokens from the level to the drawn ones."""
+        self._level = self.level(now) - amount
+        self._drawn += amount
+
+    def settle(self, amount: float, returned: float, now: float) -> None:
+        """Forget drawn tokens, of which ``returned`` were not used."""
+        self.level(now)
+        self._drawn = max(0.0, self._drawn - amount)
+        self._level = min(self._level + returned, self.capacity - self._drawn)
+
+    def take_all(self, now: float) -> float:
+        """Remove and return all tokens."""
+        taken = self.level(now)
+        self._level = 0.0
+        return taken
+
+    def take(self, amount: float, now: float) -> bool:
+        """Use tokens, if there are enough."""
+        level = self.level(now)
+        if level < amount:
+            return False
+        self._level = level - amount
+        return True
+
+    def stay_empty_until(self, when: float) -> None:
+        """Drop all tokens and refill only from a moment in the future."""
+        self._level = 0.0
+        self._updated_at = when
--- /dev/null
+++ b/citronwood/logs.py
@@ -0,0 +1,91 @@
+"""Log output: plain text or one JSON object for each line."""
+
+import json
+import logging
+import sys
+from datetime import UTC, datetime
+from typing import Literal, TextIO
+
+# Fixed prefix of each part, by package of the logger.
+_PREFIXES = {
+    "citronwood.mysql": "entry",
+    "citronwood.backend": "gateway",
+    "citronwood.backend.group": "group",
+    "citronwood.backend.promotion": "group",
+    "citronwood.fleet": "fleet",
+    "citronwood.inner": "fleet",
+    "citronwood.limits": "limits",
+    "citronwood.config": "config",
+    "citronwood.platform": "platform",
+    "citronwood.operator": "operator",
+    "citronwood.standin": "standin",
+    "citronwood": "entry",
+}
+
+
+def component_of(logger: str) -> str:
+    """Return the prefix of a logger, the first part of foreign names."""
+    name = logger
+    while name:
+        if name in _PREFIXES:
+            return _PREFIXES[name]
+        name = name.rpartition(".")[0]
+    return logger.partition(".")[0]
+
+
+class _Formatter(logging.Formatter):
+    def _message(self, record: logging.LogRecord) -> tuple[str, str]:
+        component = component_of(record.name)
+        message = record.getMessage().removeprefix(f"{component}: ")
+        return component, message
+
+    def _time(self, record: logging.LogRecord) -> str:
+        time = datetime.fromtimestamp(record.created, UTC)
+        return time.isoformat(timespec="milliseconds")
+
+    def _traceback(self, record: logging.LogRecord) -> str:
+        return self.formatException(record.exc_info) if record.exc_info else ""
+
+
+class PlainFormatter(_Formatter):
+    """Lines such as ``2026-01-01T00:00:00.000+00:00 INFO config: ...``."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line; a traceback follows on lines of its own."""
+        component, message = self._message(record)
+        # A line break in a value could pass for a log line.
+        message = message.replace("\r", "\\r").replace("\n", "\\n")
+        line = f"{self._time(record)} {record.levelname} {component}: {message}"
+        traceback = self._traceback(record)
+        return f"{line}\n{traceback}" if traceback else line
+
+
+class JsonFormatter(_Formatter):
+    """One JSON object a line: time, level, component, message and traceback."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the object."""
+        component, message = self._message(record)
+        fields = {
+            "time": self._time(record),
+            "level": record.levelname.lower(),
+            "component": component,
+            "message": message,
+        }
+        traceback = self._traceback(record)
+        if traceback:
+            fields["traceback"] = traceback
+        return json.dumps(fields, ensure_ascii=False)
+
+
+def configure_logs(
+    log_format: Literal["plain", "json"] = "plain",
+    level: str = "info",
+    stream: TextIO | None = None,
+) -> None:
+    """Send all log records to standard error in one format."""
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(JsonFormatter() if log_format == "json" else PlainFormatter())
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
--- /dev/null
+++ b/citronwood/mysql/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' side: the MySQL protocol towards applications."""
--- /dev/null
+++ b/citronwood/mysql/answers.py
@@ -0,0 +1,199 @@
+"""Answers that a session gives without its database group."""
+
+from typing import Protocol
+
+from mysql_mimic.errors import MysqlError
+
+from citronwood.mysql.access import Access
+from citronwood.mysql.assignments import Assignment, Default, parse_set
+from citronwood.mysql.codes import MysqlCode
+from citronwood.mysql.connection import SERVER_VERSION
+from citronwood.mysql.handler import StatementResult
+from citronwood.mysql.lexical import tokens
+from citronwood.mysql.literals import Value
+from citronwood.mysql.local import (
+    Item,
+    result_of,
+    select_items,
+    show_variables,
+    substitute,
+)
+from citronwood.mysql.requests import GroupRequests
+from citronwood.mysql.state import SessionState
+from citronwood.mysql.statement import Statement
+
+TOKEN = "citronwood_token"
+IDEMPOTENCY_KEY = "citronwood_idempotency_key"
+
+
+class Owner(Protocol):
+    """The session, as far as its answers depend on it."""
+
+    access: Access
+
+    @property
+    def state(self) -> SessionState:
+        """Variables of the session."""
+        ...
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open."""
+        ...
+
+    @property
+    def requests(self) -> GroupRequests:
+        """Requests to the database group."""
+        ...
+
+    async def use(self, database: str) -> None:
+        """Choose the route."""
+        ...
+
+
+class Answers:
+    """Statements that concern the session only."""
+
+    __slots__ = ("_owner", "connection_id")
+
+    def __init__(self, owner: Owner) -> None:
+        self._owner = owner
+        self.connection_id = 0
+
+    async def answer(self, sql: str, statement: Statement) -> StatementResult | None:
+        """Answer a statement, None if it must go to the group."""
+        words = statement.words
+        verb = words[0]
+        if verb == "SELECT":
+            return self._select(sql) if statement.uses_session else None
+        if verb == "SET":
+            return await self._set(sql)
+        if verb == "USE":
+            return await self._use(sql)
+        if verb == "SHOW":
+            return self._show(sql, words)
+        if verb in ("SAVEPOINT", "RELEASE") and not self._keeps_savepoints():
+            return StatementResult()
+        return None
+
+    def substitute(self, sql: str, statement: Statement) -> str:
+        """Replace what belongs to the session in a statement for the group."""
+        if statement.uses_session:
+            sql = substitute(sql, self._owner.state.system, self._user, self._function)
+        if statement.words[0] == "SHOW":
+            sql = self._with_backend_name(sql)
+        return sql
+
+    def _keeps_savepoints(self) -> bool:
+        return self._owner.in_transaction or not self._owner.state.autocommit
+
+    async def _use(self, sql: str) -> StatementResult:
+        name = [token.text for token in tokens(sql) if token.text != ";"][1:]
+        if len(name) != 1:
+            raise MysqlError("USE takes the name of a route", MysqlCode.NOT_SUPPORTED)
+        await self._owner.use(name[0])
+        return StatementResult()
+
+    async def _set(self, sql: str) -> StatementResult:
+        """Check all assignments, then apply them, so that none applies alone."""
+        state = self._owner.state
+        checked: list[tuple[Assignment, Value]] = []
+        assigned: dict[str, Value] = {}
+        for assignment in parse_set(sql):
+            value = state.resolve(assignment, assigned)
+            if not assignment.is_user:
+                value = state.check(assignment, value)
+            elif isinstance(value, Default):
+                raise MysqlError(
+                    "User variables have no default", MysqlCode.WRONG_VALUE
+                )
+            else:
+                assigned[assignment.name] = value
+            checked.append((assignment, value))
+        for assignment, kept in checked:
+            await self._apply(assignment, kept)
+        return StatementResult()
+
+    async def _apply(self, assignment: Assignment, value: Value) -> None:
+        state = self._owner.state
+        if assignment.is_user and assignment.name == TOKEN:
+            self._owner.requests.accept_token(value)
+        elif assignment.is_user and assignment.name == IDEMPOTENCY_KEY:
+            self._owner.requests.set_idempotency_key(value)
+        elif assignment.is_user:
+            state.assign_user(assignment.name, value)
+        elif isinstance(value, int | str | None):
+            name = assignment.name.lower()
+            if name == "autocommit" and value == 1 and not state.autocommit:
+                await self._owner.requests.commit()
+            state.assign_system(name, value, assignment.next_only)
+
+    def _select(self, sql: str) -> StatementResult | None:
+        items = select_items(sql)
+        if items is None:
+            return None
+        values = tuple(self._value(item) for item in items)
+        return result_of([item.label for item in items], [values])
+
+    def _value(self, item: Item) -> Value:
+        if item.kind == "system":
+            return self._owner.state.system(item.name)
+        if item.kind == "user":
+            return self._user(item.name)
+        return self._function(item.name) if item.kind == "function" else item.value
+
+    def _user(self, name: str) -> Value:
+        if name == TOKEN:
+            return self._owner.requests.issue_token()
+        if name == IDEMPOTENCY_KEY:
+            return self._owner.requests.idempotency_key()
+        return self._owner.state.user(name)
+
+    def _function(self, name: str) -> Value:
+        owner = self._owner
+        if name in ("DATABASE", "SCHEMA"):
+            return owner.access.route
+        if name == "VERSION":
+            return SERVER_VERSION
+        if name == "CONNECTION_ID":
+            return self.connection_id
+        if name == "LAST_INSERT_ID":
+            return owner.state.last_insert_id
+        if name == "ROW_COUNT":
+            return owner.state.row_count
+        return f"{owner.access.account}@%"
+
+    def _show(self, sql: str, words: tuple[str, ...]) -> StatementResult | None:
+        words = tuple(w for w in words[1:] if w not in ("SESSION", "GLOBAL", "LOCAL"))
+        subject = words[0] if words else ""
+        if subject in ("WARNINGS", "ERRORS"):
+            return self._show_errors()
+        if subject == "COUNT":
+            count = int(self._owner.state.last_error is not None)
+            counted = "error" if "ERRORS" in sql.upper() else "warning"
+            return result_of((f"@@session.{counted}_count",), [(count,)])
+        if subject == "VARIABLES":
+            return show_variables(sql, self._owner.state.system)
+        if subject in ("DATABASES", "SCHEMAS"):
+            names: list[tuple[Value, ...]] = [(n,) for n in self._owner.access.routes()]
+            return result_of(("Database",), names)
+        return None
+
+    def _show_errors(self) -> StatementResult:
+        error = self._owner.state.last_error
+        rows: list[tuple[Value, ...]] = []
+        if error is not None:
+            rows.append(("Error", int(error.code), error.message))
+        return result_of(("Level", "Code", "Message"), rows)
+
+    def _with_backend_name(self, sql: str) -> str:
+        """Replace the route by the backend's name of the database in SHOW."""
+        route = self._owner.access.route
+        found = list(tokens(sql))
+        for index, token in enumerate(found):
+            follows = index and found[index - 1].text.upper() in ("FROM", "IN")
+            qualifies = index + 1 < len(found) and found[index + 1].text == "."
+            if (follows or qualifies) and token.text == route:
+                name = self._owner.access.backend_database().replace("`", "``")
+                return f"{sql[: token.start]}`{name}`{sql[token.end :]}"
+        return sql
--- /dev/null
+++ b/citronwood/mysql/handler.py
@@ -0,0 +1,102 @@
+"""Interface between the protocol and the behaviour behind one client connection."""
+
+from collections.abc import AsyncIterator
+from typing import NamedTuple, Protocol, runtime_checkable
+
+from citronwood.backend.api import Column, Row
+
+
+class StatementResult(NamedTuple):
+    """What a handler returns for one statement.
+
+    ``info`` is sent in the OK packet; ``rows`` is None without a result set.
+    ``changed_rows`` replaces ``affected_rows`` for clients that did not ask for the
+    number of rows found.
+    """
+
+    columns: tuple[Column, ...] = ()
+    rows: AsyncIterator[list[Row]] | None = None
+    affected_rows: int = 0
+    last_insert_id: int = 0
+    info: bytes = b""
+    warnings: int = 0
+    changed_rows: int | None = None
+
+
+class Handler(Protocol):
+    """Behaviour behind one client connection."""
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open, as reported in the status flags."""
+        ...
+
+    async def find_digests(self, username: str) -> list[str] | None:
+        """Return the accepted digests of a user, None if there is no such user.
+
+        An empty list admits the user with an empty password only.
+        """
+        ...
+
+    def check_login(self, username: str, database: str | None) -> None:
+        """Raise ``MysqlError`` if the user may not use the database."""
+        ...
+
+    async def open(self, username: str, database: str | None) -> None:
+        """Start the session after a successful login."""
+        ...
+
+    async def run(self, sql: str, attributes: dict[str, str]) -> StatementResult:
+        """Run one statement or raise ``MysqlError``."""
+        ...
+
+    async def use(self, database: str) -> None:
+        """Change the default database."""
+        ...
+
+    async def reset(self) -> None:
+        """Return the session to its state after login."""
+        ...
+
+    async def close(self) -> None:
+        """Release everything the session holds."""
+        ...
+
+
+@runtime_checkable
+class KeyedHandler(Handler, Protocol):
+    """Handler that distinguishes the keys of an account and the client's address."""
+
+    @property
+    def autocommit(self) -> bool:
+        """Whether statements outside a transaction commit on their own."""
+        ...
+
+    @property
+    def closing(self) -> bool:
+        """Whether the connection must be closed after the current answer."""
+        ...
+
+    def connected(self, connection_id: int, peer: str) -> None:
+        """Learn the client's address before the login."""
+        ...
+
+    def admits_without_key(self, username: str, database: str | None) -> bool:
+        """Whether an empty password is accepted."""
+        ...
+
+    def key_accepted(self, username: str, digest: str | None) -> None:
+        """Remember the digest that matched; None stands for an empty password."""
+        ...
+
+    async def login_failed(self, username: str) -> None:
+        """Delay the answer to a wrong key."""
+        ...
+
+    def expire_transaction(self, idle_s: float) -> bool:
+        """Fail a transaction whose caller is idle; return whether to release it."""
+        ...
+
+    async def release_transaction(self) -> None:
+        """Roll back the transaction that has expired."""
+        ...
--- /dev/null
+++ b/citronwood/mysql/packets.py
@@ -0,0 +1,155 @@
+"""Packets of the MySQL protocol that the protocol library does not handle safely."""
+
+import asyncio
+import struct
+from collections.abc import Awaitable
+from io import BytesIO
+from typing import Any, NamedTuple
+
+from mysql_mimic.errors import MysqlError
+from mysql_mimic.stream import ConnectionClosed
+from mysql_mimic.types import Capabilities, read_uint_1, read_uint_len
+
+from citronwood.errors import ErrorCode
+from citronwood.mysql.codes import MysqlCode
+
+MAX_PACKET_BYTES = 1 << 20
+MAX_LOGIN_BYTES = 1 << 16
+MAX_AUTH_BYTES = 1024
+
+_FULL_PACKET = 0xFFFFFF
+_SSL_REQUEST_BYTES = 32
+
+
+class OversizedError(MysqlError):  # type: ignore[misc]
+    """A packet was too long; ``next_sequence`` is the number of the answer."""
+
+    def __init__(self, limit: int, next_sequence: int) -> None:
+        super().__init__(
+            f"Statement exceeds {limit} bytes; send a shorter one",
+            ErrorCode.STATEMENT_TOO_LONG,
+        )
+        self.next_sequence = next_sequence
+
+
+class LimitedReader:
+    """Reader that refuses packets above a size without keeping them in memory.
+
+    ``MysqlStream`` is a compiled class that cannot be extended, and it reads a packet
+    as four bytes of header followed by the payload.
+    """
+
+    __slots__ = ("limit", "reader")
+
+    def __init__(self, reader: asyncio.StreamReader) -> None:
+        self.reader = reader
+        self.limit = MAX_LOGIN_BYTES
+
+    async def read(self, count: int) -> bytes:
+        """Return a packet header, or nothing when the client has left."""
+        try:
+            header = await self.reader.readexactly(count)
+        except asyncio.IncompleteReadError:
+            return b""
+        length = struct.unpack("<I", header)[0] & _FULL_PACKET
+        if length > self.limit:
+            sequence = await self._discard(header)
+            raise OversizedError(self.limit, (sequence + 1) & 0xFF)
+        return header
+
+    def readexactly(self, count: int) -> Awaitable[bytes]:
+        """Return the payload of a packet."""
+        return self.reader.readexactly(count)
+
+    async def _discard(self, header: bytes) -> int:
+        """Skip a packet and its continuations; return the last sequence number."""
+        while True:
+            left = length = struct.unpack("<I", header)[0] & _FULL_PACKET
+            while left:
+                data = await self.reader.read(min(left, 1 << 16))
+                if not data:
+                    raise ConnectionClosed
+                left -= len(data)
+            if length < _FULL_PACKET:
+                return header[3]
+            header = await self.reader.readexactly(4)
+
+
+class ChangeUser(NamedTuple):
+    """Content of COM_CHANGE_USER."""
+
+    username: str
+    database: str | None
+
+
+class LoginRequest(NamedTuple):
+    """Client's answer to the greeting; a request for TLS has no user name."""
+
+    capabilities: Capabilities
+    username: str | None
+    auth_response: bytes = b""
+    database: str | None = None
+    plugin: str | None = None
+
+
+def parse_login(capabilities: Capabilities, data: bytes) -> LoginRequest:
+    """Parse the answer to the greeting, or raise ``MysqlError``.
+
+    The protocol library's parser never ends when a terminating zero is missing. Text
+    is UTF-8 whatever character set the client names, as on a server that ignores it.
+    """
+    if len(data) < _SSL_REQUEST_BYTES:
+        raise MysqlError("Malformed login", MysqlCode.BAD_HANDSHAKE)
+    shared = Capabilities(struct.unpack_from("<I", data)[0]) & capabilities
+    if Capabilities.CLIENT_PROTOCOL_41 not in shared:
+        raise MysqlError("Use a driver for MySQL 4.1", MysqlCode.BAD_HANDSHAKE)
+    if len(data) == _SSL_REQUEST_BYTES:
+        return LoginRequest(shared, None)
+    try:
+        return _parse_credentials(shared, data[_SSL_REQUEST_BYTES:])
+    except (struct.error, ValueError) as error:
+        raise MysqlError("Malformed login", MysqlCode.BAD_HANDSHAKE) from error
+
+
+def _parse_credentials(shared: Capabilities, data: bytes) -> LoginRequest:
+    username, _, rest = data.partition(b"\0")
+    reader = BytesIO(rest)
+    if Capabilities.CLIENT_PLUGIN_AUTH_LENENC_CLIENT_DATA in shared:
+        length = read_uint_len(reader)
+    else:
+        length = read_uint_1(reader)
+    if length > MAX_AUTH_BYTES:
+        raise ValueError("authentication data are too long")
+    auth_response = reader.read(length)
+    rest = reader.read()
+    database = plugin = b""
+    if Capabilities.CLIENT_CONNECT_WITH_DB in shared:
+        database, _, rest = rest.partition(b"\0")
+    if Capabilities.CLIENT_PLUGIN_AUTH in shared:
+        plugin, _, rest = rest.partition(b"\0")
+    return LoginRequest(
+        shared,
+        username.decode(),
+        auth_response,
+        database.decode() or None,
+        plugin.decode() or None,
+    )
+
+
+def parse_change_user(data: bytes) -> ChangeUser:
+    """Parse COM_CHANGE_USER up to the database.
+
+    The answer to the old nonce is skipped: the key is always checked with a new one.
+    """
+    try:
+        name, _, rest = data.partition(b"\0")
+        database = rest[1 + rest[0] :].partition(b"\0")[0]
+        return ChangeUser(name.decode(), database.decode() or None)
+    except (IndexError, UnicodeDecodeError) as error:
+        raise MysqlError("Malformed command", MysqlCode.MALFORMED_PACKET) from error
+
+
+def peer_address(writer: asyncio.StreamWriter) -> str:
+    """Return the client's IP address, empty if it has left already."""
+    peer: Any = writer.get_extra_info("peername")
+    return str(peer[0]) if peer else ""
--- /dev/null
+++ b/citronwood/mysql/positions.py
@@ -0,0 +1,53 @@
+"""Positions that a session requires of the database groups."""
+
+from mysql_mimic.errors import MysqlError
+
+from citronwood.backend.api import Position
+from citronwood.errors import ErrorCode
+from citronwood.mysql.access import Access
+from citronwood.mysql.token import issue_token, read_token
+
+
+class Positions:
+    """Highest position of each group that the session has written or been given."""
+
+    __slots__ = ("_by_group",)
+
+    def __init__(self) -> None:
+        self._by_group: dict[str, Position] | None = None
+
+    def get(self, group: str) -> Position | None:
+        """Return the floor of reads in a group, None if there is none yet."""
+        return None if self._by_group is None else self._by_group.get(group)
+
+    def raise_to(self, group: str, position: Position) -> None:
+        """Raise the floor of a group; it never goes down."""
+        if self._by_group is None:
+            self._by_group = {}
+        known = self._by_group.get(group)
+        if known is None or position > known:
+            self._by_group[group] = position
+
+    def issue(self, secret: bytes, account: str, group: str) -> str | None:
+        """Return the token for a group, None if no position is known."""
+        position = self.get(group)
+        return (
+            None if position is None else issue_token(secret, account, group, position)
+        )
+
+    def accept(self, secret: bytes, access: Access, text: str) -> None:
+        """Take a token over, or raise ``MysqlError``."""
+        token = read_token(secret, text)
+        if token is None or token.account != access.account:
+            raise MysqlError(
+                "The session token is malformed or of another account; use the value"
+                " of @citronwood_token unchanged",
+                ErrorCode.BAD_SESSION_TOKEN,
+            )
+        if token.group not in access.groups():
+            raise MysqlError(
+                f"The session token is of database group '{token.group}', which"
+                " none of the account's routes uses",
+                ErrorCode.BAD_SESSION_TOKEN,
+            )
+        self.raise_to(token.group, token.position)
--- /dev/null
+++ b/citronwood/mysql/requests.py
@@ -0,0 +1,391 @@
+"""Requests of one session to its database group, and its transaction."""
+
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable
+from time import monotonic
+from typing import NamedTuple, Protocol
+from uuid import uuid4
+
+from mysql_mimic.errors import MysqlError
+from result import Err
+
+from citronwood.backend.api import (
+    Executor,
+    Reply,
+    Request,
+    Row,
+    StatementKind,
+    close_rows,
+)
+from citronwood.config.api import ConfigSource
+from citronwood.deadline import deadline_in
+from citronwood.errors import ErrorCode, Outcome, Refusal
+from citronwood.limits.api import Limiter
+from citronwood.metrics import Metrics
+from citronwood.mysql.access import Access, Target
+from citronwood.mysql.codes import MysqlCode
+from citronwood.mysql.handler import StatementResult
+from citronwood.mysql.packets import MAX_PACKET_BYTES
+from citronwood.mysql.positions import Positions
+from citronwood.mysql.state import SessionState
+from citronwood.mysql.throttle import LoginThrottle
+from citronwood.operator.records import Records
+
+log = logging.getLogger(__name__)
+
+STATEMENT_TIMEOUT_S = 10.0
+# The limiter refuses sooner unless it has lost a ledger.
+RATE_WAIT_S = 2.5
+# Room for the other fields of a request in a message between VMs.
+MAX_STATEMENT_BYTES = MAX_PACKET_BYTES - (1 << 14)
+MAX_IDEMPOTENCY_KEY_CHARS = 128
+
+_NAMES = {kind: kind.value for kind in StatementKind}
+
+
+class EntryServices(NamedTuple):
+    """What all sessions of a VM share."""
+
+    config: ConfigSource
+    executor: Executor
+    limiter: Limiter
+    metrics: Metrics
+    records: Records
+    secret: bytes
+    throttle: LoginThrottle
+
+
+class Owner(Protocol):
+    """The session, as far as its requests depend on it."""
+
+    access: Access
+
+    @property
+    def state(self) -> SessionState:
+        """Variables of the session."""
+        ...
+
+    async def check_caller(self) -> None:
+        """Raise ``MysqlError`` if the caller may not run requests any more."""
+        ...
+
+    def refusal(self, code: int, message: str) -> MysqlError:
+        """Record a refusal and return the error for the caller."""
+        ...
+
+
+class GroupRequests:
+    """Requests of one session, in and outside of a transaction."""
+
+    __slots__ = (
+        "_access",
+        "_failed",
+        "_idempotency_key",
+        "_in_transaction",
+        "_owner",
+        "_positions",
+        "_services",
+        "_session_id",
+        "_state",
+        "_transaction_key",
+        "_transaction_target",
+        "_used",
+    )
+
+    def __init__(self, services: EntryServices, owner: Owner) -> None:
+        self._services = services
+        self._owner = owner
+        self._access = owner.access
+        self._state = owner.state
+        self._session_id = uuid4().hex
+        self._positions = Positions()
+        self._idempotency_key: str | None = None
+        self._transaction_key: str | None = None
+        self._transaction_target: Target | None = None
+        self._in_transaction = False
+        self._failed = False
+        self._used = False
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open on the group."""
+        return self._in_transaction
+
+    @property
+    def failed(self) -> bool:
+        """Whether a transaction has failed that the caller must roll back."""
+        return self._failed
+
+    def set_idempotency_key(self, key: object) -> None:
+        """Keep the key for the next write or transaction; None removes it."""
+        if self._in_transaction:
+            if key == self._transaction_key:
+                return
+            # It could be applied only to another transaction than the caller means.
+            raise MysqlError(
+                "The idempotency key must be set before the transaction starts",
+                MysqlCode.NOT_IN_TRANSACTION,
+            )
+        if key is None or key == "":
+            self._idempotency_key = None
+            return
+        if not isinstance(key, str) or len(key) > MAX_IDEMPOTENCY_KEY_CHARS:
+            raise MysqlError(
+                "An idempotency key is a string of at most"
+                f" {MAX_IDEMPOTENCY_KEY_CHARS} characters",
+                MysqlCode.WRONG_VALUE,
+            )
+        self._idempotency_key = key
+
+    def idempotency_key(self) -> str | None:
+        """Return the key that waits for the next write or transaction."""
+        return self._idempotency_key
+
+    def accept_token(self, text: object) -> None:
+        """Take over the position of a session token; NULL changes nothing."""
+        if text is not None:
+            self._positions.accept(self._services.secret, self._access, str(text))
+
+    def issue_token(self) -> str | None:
+        """Return the token for the group of the selected route."""
+        route = self._access.route
+        if route is None:
+            return None
+        group = self._access.target().group
+        return self._positions.issue(self._services.secret, self._access.account, group)
+
+    async def begin(self, sql: str) -> StatementResult:
+        """Start a transaction; one that is open is committed first."""
+        if self._in_transaction:
+            await self.commit("COMMIT")
+        if self._state.take_read_only() and "READ" not in sql.upper():
+            sql = "START TRANSACTION READ ONLY"
+        self._transaction_target = self._access.target()
+        self._transaction_key = self._idempotency_key
+        try:
+            return await self.forward(sql, StatementKind.BEGIN)
+        finally:
+            if not self._in_transaction:
+                self._transaction_target = self._transaction_key = None
+
+    async def commit(self, sql: str = "COMMIT") -> StatementResult:
+        """Commit the open transaction; without one there is nothing to do."""
+        if not self._in_transaction:
+            return StatementResult()
+        return await self.forward(sql, StatementKind.COMMIT)
+
+    async def rollback(self, sql: str) -> StatementResult:
+        """End the transaction; this always succeeds for the caller."""
+        self._state.last_error = None
+        if self._in_transaction and self._access.may_serve() and self.has_access():
+            outcome = await self._execute(self._request(sql, StatementKind.ROLLBACK))
+            if isinstance(outcome, Reply):
+                self._adopt(outcome, StatementKind.ROLLBACK)
+                return StatementResult()
+        # Whatever is left of the transaction goes with its backend connection.
+        await self.end()
+        self._leave_transaction()
+        return StatementResult()
+
+    def fail(self) -> None:
+        """Refuse statements until ROLLBACK; the caller must ``end`` the rest."""
+        self._leave_transaction()
+        self._failed = True
+
+    def has_access(self) -> bool:
+        """Whether key and route are still in force."""
+        try:
+            return self._access.is_valid()
+        except MysqlError:
+            # The route is gone or forbidden now.
+            return False
+
+    async def forward(self, sql: str, kind: StatementKind) -> StatementResult:
+        """Run one statement on the group, or raise ``MysqlError``."""
+        if kind is StatementKind.WRITE and not self._in_transaction:
+            self._check_writable()
+        request = self._request(sql, kind)
+        if not request.in_transaction:
+            await self._acquire(request)
+        started = monotonic()
+        outcome = await self._execute(request)
+        metrics = self._services.metrics
+        metrics.observe(request.account, _NAMES[kind], (monotonic() - started) * 1000)
+        if isinstance(outcome, Refusal):
+            raise await self._refused(outcome, request)
+        self._clear_key(kind)
+        self._adopt(outcome, kind)
+        rows = (
+            None
+            if outcome.rows is None
+            else _CheckedRows(outcome.rows, self._break_off)
+        )
+        return StatementResult(
+            outcome.columns,
+            rows,
+            outcome.affected_rows,
+            outcome.last_insert_id,
+            changed_rows=outcome.changed_rows,
+        )
+
+    def _check_writable(self) -> None:
+        if self._state.system("transaction_read_only") == 1:
+            raise MysqlError(
+                "The session is read-only; set transaction_read_only to 0 first",
+                MysqlCode.READ_ONLY_TRANSACTION,
+            )
+
+    async def _acquire(self, request: Request) -> None:
+        deadline = min(request.deadline, deadline_in(RATE_WAIT_S))
+        admission = await self._services.limiter.acquire(request.account, deadline)
+        if isinstance(admission, Err):
+            refusal = admission.err_value
+            raise self._owner.refusal(refusal.code, refusal.message)
+        # The key may have been withdrawn during the wait.
+        if self._access.refusal() is not None:
+            await self._owner.check_caller()
+
+    async def _execute(self, request: Request) -> Reply | Refusal:
+        self._used = True
+        try:
+            outcome = await self._services.executor.execute(request)
+        except Exception:
+            log.exception("entry: statement for group %s failed", request.group)
+            await self.end()
+            return Refusal(
+                ErrorCode.OUTCOME_UNKNOWN,
+                "The outcome is unknown; check before you repeat the statement",
+                Outcome.UNKNOWN,
+                request.in_transaction,
+            )
+        return outcome.err_value if isinstance(outcome, Err) else outcome.ok_value
+
+    def _request(self, sql: str, kind: StatementKind) -> Request:
+        if len(sql) > MAX_STATEMENT_BYTES >> 2:
+            _check_length(sql)
+        target = self._transaction_target or self._access.target()
+        key = self._transaction_key
+        if key is None and kind is StatementKind.WRITE and not self._in_transaction:
+            key = self._idempotency_key
+        return Request(
+            session_id=self._session_id,
+            account=self._access.account,
+            route=target.route,
+            group=target.group,
+            sql=sql,
+            kind=kind,
+            floor=self._positions.get(target.group),
+            max_age_ms=target.max_age_ms,
+            idempotency_key=key,
+            in_transaction=self._in_transaction,
+            deadline=deadline_in(STATEMENT_TIMEOUT_S),
+            check=self._access.refusal,
+            key=self._access.key,
+        )
+
+    def _adopt(self, reply: Reply, kind: StatementKind) -> None:
+        if reply.position is not None:
+            target = self._transaction_target or self._access.target()
+            self._positions.raise_to(target.group, reply.position)
+        self._in_transaction = reply.in_transaction
+        if not reply.in_transaction:
+            self._leave_transaction()
+        if kind is StatementKind.WRITE:
+            self._state.row_count = reply.affected_rows
+            if reply.last_insert_id:
+                self._state.last_insert_id = reply.last_insert_id
+        elif reply.rows is not None:
+            self._state.row_count = -1
+
+    def _leave_transaction(self) -> None:
+        self._in_transaction = self._failed = False
+        self._transaction_target = self._transaction_key = None
+
+    def _clear_key(self, kind: StatementKind) -> None:
+        if kind is StatementKind.BEGIN or (
+            kind is StatementKind.WRITE and not self._in_transaction
+        ):
+            self._idempotency_key = None
+
+    async def _refused(self, refusal: Refusal, request: Request) -> MysqlError:
+        """Follow up on a refusal and return the error for the caller."""
+        unknown = refusal.outcome is Outcome.UNKNOWN
+        if refusal.transaction_lost or (unknown and request.in_transaction):
+            self._failed = request.in_transaction
+            await self.end()
+            self._in_transaction = False
+            self._transaction_target = self._transaction_key = None
+        elif unknown and request.kind is StatementKind.BEGIN:
+            await self.end()
+        # A statement that did not run keeps its key for the repetition; a key that
+        # belongs to another statement would make every later write fail.
+        reused = refusal.code == ErrorCode.IDEMPOTENCY_KEY_REUSED
+        if refusal.outcome is not Outcome.NOT_RUN or reused:
+            self._clear_key(request.kind)
+        if refusal.outcome is Outcome.FAILED:
+            return MysqlError(refusal.message, refusal.code)
+        return self._owner.refusal(refusal.code, refusal.message)
+
+    async def _break_off(self, error: Exception) -> MysqlError:
+        """Follow up on a result that failed on the way; return the caller's error."""
+        log.info("entry: a result broke off: %r", error)
+        if self._in_transaction:
+            self.fail()
+            await self.end()
+        return self._owner.refusal(
+            ErrorCode.OUTCOME_UNKNOWN, "The result broke off before its end"
+        )
+
+    async def end(self) -> None:
+        """Let the group roll back and release what the session holds.
+
+        The next request uses another id, so that a late notice of the end cannot
+        reach it.
+        """
+        if not self._used:
+            return
+        ended, self._session_id = self._session_id, uuid4().hex
+        self._used = False
+        try:
+            await self._services.executor.end_session(ended)
+        except Exception:
+            log.exception("entry: the end of a session could not be reported")
+
+
+class _CheckedRows:
+    """Rows on their way to the caller; a failure becomes an error answer.
+
+    A class rather than a generator: closing a generator that was never started would
+    leave the rows below it open, and their connection in use.
+    """
+
+    def __init__(
+        self,
+        rows: AsyncIterator[list[Row]],
+        break_off: Callable[[Exception], Awaitable[MysqlError]],
+    ) -> None:
+        self._rows = rows
+        self._break_off = break_off
+
+    def __aiter__(self) -> AsyncIterator[list[Row]]:
+        return self
+
+    async def __anext__(self) -> list[Row]:
+        try:
+            return await anext(self._rows)
+        except (StopAsyncIteration, MysqlError):
+            raise
+        except Exception as error:
+            raise await self._break_off(error) from error
+
+    async def aclose(self) -> None:
+        """End the result."""
+        await close_rows(self._rows)
+
+
+def _check_length(sql: str) -> None:
+    if len(sql.encode()) > MAX_STATEMENT_BYTES:
+        raise MysqlError(
+            f"Statement exceeds {MAX_STATEMENT_BYTES} bytes; send a shorter one",
+            ErrorCode.STATEMENT_TOO_LONG,
+        )
--- /dev/null
+++ b/citronwood/mysql/session.py
@@ -0,0 +1,216 @@
+"""Session of one caller: login, checks before each statement, and dispatch."""
+
+from mysql_mimic.errors import MysqlError
+
+from citronwood.backend.api import StatementKind
+from citronwood.errors import ErrorCode
+from citronwood.mysql.access import Access
+from citronwood.mysql.answers import IDEMPOTENCY_KEY, Answers
+from citronwood.mysql.codes import MysqlCode
+from citronwood.mysql.handler import StatementResult
+from citronwood.mysql.local import needs_hexadecimal, with_hexadecimal
+from citronwood.mysql.requests import EntryServices, GroupRequests
+from citronwood.mysql.state import SessionError, SessionState
+from citronwood.mysql.statement import Statement, inspect
+
+# A transaction occupies one of the few connections to the primary, and its locks.
+IDLE_TRANSACTION_S = 60.0
+
+__all__ = ["CallerSession", "EntryServices"]
+
+
+class CallerSession:
+    """Handler of one caller's connection."""
+
+    __slots__ = (
+        "_answers",
+        "_closing",
+        "_peer",
+        "_requests",
+        "_services",
+        "_state",
+        "access",
+    )
+
+    def __init__(self, services: EntryServices) -> None:
+        self.access = Access(services.config)
+        self._services = services
+        self._peer = ""
+        self._closing = False
+        self._answers = Answers(self)
+        self._start()
+
+    def _start(self) -> None:
+        self._state = SessionState()
+        self._requests = GroupRequests(self._services, self)
+
+    @property
+    def requests(self) -> GroupRequests:
+        """Requests to the database group."""
+        return self._requests
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether the caller has a transaction open or must still roll one back."""
+        return self._requests.in_transaction or self._requests.failed
+
+    @property
+    def autocommit(self) -> bool:
+        """Whether statements outside a transaction commit on their own."""
+        return self._state.autocommit
+
+    @property
+    def closing(self) -> bool:
+        """Whether the caller must connect again."""
+        return self._closing
+
+    @property
+    def state(self) -> SessionState:
+        """Variables of the session."""
+        return self._state
+
+    def connected(self, connection_id: int, peer: str) -> None:
+        """Remember the client's address."""
+        self._peer = peer
+        self._answers.connection_id = connection_id
+
+    async def find_digests(self, username: str) -> list[str] | None:
+        """Return the digests of the account's keys."""
+        return self.access.find_digests(username)
+
+    def admits_without_key(self, username: str, database: str | None) -> bool:
+        """Whether an open route is named."""
+        return self.access.admits_without_key(database)
+
+    def key_accepted(self, username: str, digest: str | None) -> None:
+        """Remember the account and its key."""
+        self.access.accept(username, digest)
+
+    async def login_failed(self, username: str) -> None:
+        """Delay the answer to a wrong key."""
+        self._services.metrics.count("entry.login_failed")
+        await self._services.throttle.delay(self._peer, username)
+
+    def check_login(self, username: str, database: str | None) -> None:
+        """Refuse a login that could not run any statement."""
+        found = self.access.isolation()
+        if found is not None:
+            raise self.refusal(found.code, found.message)
+        if database:
+            self.access.check_route(database)
+
+    async def open(self, username: str, database: str | None) -> None:
+        """Choose the route."""
+        if database:
+            self.access.select(database)
+
+    async def use(self, database: str) -> None:
+        """Choose the route of the following statements."""
+        if self.in_transaction and database != self.access.route:
+            raise MysqlError(
+                "The route cannot be changed in a transaction; end it first",
+                MysqlCode.NOT_IN_TRANSACTION,
+            )
+        self.access.select(database)
+
+    def expire_transaction(self, idle_s: float) -> bool:
+        """Fail the transaction of a caller that is idle or has lost its key.
+
+        The caller's next statement reports it.
+        """
+        requests = self._requests
+        if not requests.in_transaction:
+            return False
+        if idle_s < IDLE_TRANSACTION_S and requests.has_access():
+            return False
+        requests.fail()
+        return True
+
+    async def release_transaction(self) -> None:
+        """Roll back the transaction that has expired."""
+        await self._requests.end()
+
+    async def reset(self) -> None:
+        """Roll back what is open and forget variables and positions."""
+        await self._requests.end()
+        self._start()
+
+    async def close(self) -> None:
+        """Roll back what is open."""
+        await self._requests.end()
+
+    async def run(self, sql: str, attributes: dict[str, str]) -> StatementResult:
+        """Run one statement."""
+        try:
+            result = await self._run(sql, attributes)
+        except MysqlError as error:
+            self._state.last_error = SessionError(error.code, error.msg)
+            raise
+        return result
+
+    async def _run(self, sql: str, attributes: dict[str, str]) -> StatementResult:
+        if needs_hexadecimal(sql):
+            sql = _hexadecimal(sql)
+        statement = inspect(sql)
+        if statement.kind is StatementKind.ROLLBACK:
+            return await self._requests.rollback(sql)
+        if self.access.refusal() is not None:
+            await self.check_caller()
+        self._check(statement)
+        if IDEMPOTENCY_KEY in attributes:
+            self._requests.set_idempotency_key(attributes[IDEMPOTENCY_KEY])
+        answer = await self._answers.answer(sql, statement)
+        if answer is not None:
+            return answer
+        self._state.last_error = None
+        if statement.kind is StatementKind.BEGIN:
+            return await self._requests.begin(sql)
+        if statement.kind is StatementKind.COMMIT:
+            return await self._requests.commit(sql)
+        if statement.uses_session or statement.words[0] == "SHOW":
+            sql = self._answers.substitute(sql, statement)
+        if not self._requests.in_transaction and not self._state.autocommit:
+            await self._requests.begin("BEGIN")
+        return await self._requests.forward(sql, statement.kind)
+
+    def _check(self, statement: Statement) -> None:
+        if self._requests.failed:
+            raise self.refusal(
+                ErrorCode.TRANSACTION_FAILED,
+                "The transaction has failed and this statement did not run; send"
+                " ROLLBACK",
+            )
+        if statement.refusal is not None:
+            raise MysqlError(statement.refusal, MysqlCode.NOT_SUPPORTED)
+        if not statement.words:
+            raise MysqlError("Query was empty", MysqlCode.EMPTY_QUERY)
+
+    async def check_caller(self) -> None:
+        """Raise ``MysqlError`` if the caller may not run requests any more."""
+        found = self.access.refusal()
+        if found is None:
+            return
+        if found.code == ErrorCode.KEY_WITHDRAWN:
+            await self._requests.end()
+            self._start()
+            self._closing = True
+        elif found.code == ErrorCode.VM_ISOLATED:
+            self._closing = not self.in_transaction
+        raise self.refusal(found.code, found.message)
+
+    def refusal(self, code: int, message: str) -> MysqlError:
+        """Record a refusal and return the error for the caller."""
+        self._services.metrics.count(f"entry.refused.{int(code)}")
+        # The limiter has recorded its own refusals with their numbers.
+        if code != ErrorCode.RATE_LIMITED:
+            self._services.records.add(
+                "refusal", account=self.access.account, code=int(code), message=message
+            )
+        return MysqlError(message, code)
+
+
+def _hexadecimal(sql: str) -> str:
+    converted = with_hexadecimal(sql)
+    if converted is None:
+        raise MysqlError("The statement is not valid utf8mb4", MysqlCode.INVALID_TEXT)
+    return converted
--- /dev/null
+++ b/citronwood/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Operator API."""
--- /dev/null
+++ b/citronwood/operator/http.py
@@ -0,0 +1,319 @@
+"""Operator API: HTTP with JSON on every VM.
+
+Every error is a JSON object with ``error``, ``message`` and ``findings``, a list of
+objects with ``place`` and ``message``.
+"""
+
+import hmac
+import json
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from ssl import SSLContext
+from typing import Any, Protocol
+
+from aiohttp import web
+from result import Err
+
+from citronwood.config.distribution import wait_until_in_force
+from citronwood.config.draft import Finding
+from citronwood.config.model import Configuration
+from citronwood.config.plan import Plan, Planner, Rejection
+from citronwood.deadline import deadline_in
+from citronwood.errors import PlatformError, PlatformUnavailableError
+from citronwood.fleet.api import Membership
+from citronwood.inner.messages import VmState
+from citronwood.metrics import BUCKET_BOUNDS_MS, Histogram, Metrics
+from citronwood.operator.records import Records
+from citronwood.platform.http import PlatformStatus
+
+log = logging.getLogger(__name__)
+
+CALL_S = 10.0
+IN_FORCE_S = 5.0
+MAX_BODY_BYTES = 1 << 20
+
+Document = dict[str, Any]
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+_REJECTION_STATUS = {"unknown": 404, "expired": 410, "moved": 409, "behind": 409}
+
+
+class ConfigState(Protocol):
+    """The configuration in force and whether this VM may serve."""
+
+    @property
+    def current(self) -> Configuration:
+        """The newest configuration this VM knows."""
+        ...
+
+    @property
+    def may_serve(self) -> bool:
+        """Whether requests may run."""
+        ...
+
+    @property
+    def vouch_age_ms(self) -> int | None:
+        """Time since the version in force was known to be the newest."""
+        ...
+
+
+async def _no_groups() -> Document:
+    return {}
+
+
+async def _no_peers(kind: str | None, account: str | None) -> list[Document]:
+    return []
+
+
+@dataclass(frozen=True)
+class OperatorSources:
+    """What the operator API reads.
+
+    ``groups`` returns primary, term and members by group, ``peer_records`` the explain
+    records of the other VMs as objects like those of ``own_records``.
+    """
+
+    planner: Planner
+    config: ConfigState
+    membership: Membership
+    metrics: Metrics
+    records: Records
+    platform: Callable[[], PlatformStatus]
+    groups: Callable[[], Awaitable[Document]] = field(default=_no_groups)
+    peer_records: Callable[[str | None, str | None], Awaitable[list[Document]]] = field(
+        default=_no_peers
+    )
+
+
+class OperatorApi:
+    """The HTTP server.
+
+    Parameters
+    ----------
+    sources : OperatorSources
+    token : str
+        Required as ``Authorization: Bearer TOKEN``, except for the health check.
+    """
+
+    def __init__(
+        self,
+        sources: OperatorSources,
+        token: str,
+        host: str,
+        port: int,
+        ssl: SSLContext | None = None,
+    ) -> None:
+        self._sources = sources
+        self._token = token
+        self._address = (host, port)
+        self._ssl = ssl
+        self._runner: web.AppRunner | None = None
+
+    @property
+    def url(self) -> str:
+        """Base URL."""
+        scheme = "https" if self._ssl else "http"
+        return f"{scheme}://{self._address[0]}:{self._address[1]}"
+
+    async def start(self) -> None:
+        """Listen."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[self._guard])
+        app.add_routes(
+            [
+                web.post("/v1/plans", self._propose),
+                web.get("/v1/plans/{id}", self._show_plan),
+                web.post("/v1/plans/{id}/confirm", self._confirm),
+                web.get("/v1/config", self._show_config),
+                web.get("/v1/status", self._show_status),
+                web.get("/v1/explain", self._explain),
+                web.get("/v1/health", self._health),
+            ]
+        )
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, *self._address, ssl_context=self._ssl).start()
+        self._address = self._runner.addresses[0][:2]
+        log.info("API listens on %s", self.url)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    @web.middleware
+    async def _guard(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        if request.path != "/v1/health" and not self._is_authorized(request):
+            self._sources.metrics.count("operator.unauthorized")
+            return _error(401, "unauthorized", "a valid operator token is required")
+        try:
+            return await handler(request)
+        except PlatformUnavailableError as error:
+            return _error(503, "platform_unavailable", str(error))
+        except PlatformError as error:
+            return _error(502, "platform_failed", str(error))
+        except web.HTTPException as error:
+            return _error(error.status, "request_refused", error.reason)
+        except Exception:
+            log.exception("%s %s failed", request.method, request.path)
+            return _error(500, "internal", "the request failed; see the log of the VM")
+
+    def _is_authorized(self, request: web.Request) -> bool:
+        scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+        matches = hmac.compare_digest(token.encode(), self._token.encode())
+        return scheme.lower() == "bearer" and matches
+
+    async def _propose(self, request: web.Request) -> web.Response:
+        try:
+            intent = json.loads(await request.read())
+        except ValueError as error:
+            return _refused_intent([Finding("", f"is not JSON: {error}")])
+        # A planned change of primary is bound to the group's current term.
+        await self._sources.groups()
+        result = await self._sources.planner.propose(intent, deadline_in(CALL_S))
+        if isinstance(result, Err):
+            return _refused_intent(result.err_value)
+        plan, secrets = result.ok_value
+        log.info("plan %s made: %s", plan.id, plan.intent)
+        return _json({**_plan_document(plan), "secrets": secrets}, status=201)
+
+    async def _show_plan(self, request: web.Request) -> web.Response:
+        plan_id = request.match_info["id"]
+        plan = await self._sources.planner.load(plan_id, deadline_in(CALL_S))
+        if plan is None:
+            return _error(404, "unknown", f"there is no plan {plan_id}")
+        applied = plan.id in self._sources.config.current.applied_plans
+        return _json({**_plan_document(plan), "applied": applied})
+
+    async def _confirm(self, request: web.Request) -> web.Response:
+        plan_id = request.match_info["id"]
+        planner = self._sources.planner
+        try:
+            result = await planner.confirm(plan_id, deadline_in(CALL_S))
+        except PlatformUnavailableError as error:
+            message = f"{error}; the plan may have been applied, a repeat is safe"
+            return _error(503, "outcome_unknown", message)
+        if isinstance(result, Err):
+            return _refused_confirm(result.err_value)
+        version, repeated = result.ok_value
+        self._sources.records.add(
+            "plan", plan=plan_id, version=version, repeated=repeated
+        )
+        behind = await wait_until_in_force(
+            self._sources.membership, version, deadline_in(IN_FORCE_S)
+        )
+        return _json(
+            {
+                "plan": plan_id,
+                "version": version,
+                "repeated": repeated,
+                "in_force": not behind,
+                "behind": behind,
+            },
+            status=202 if behind else 200,
+        )
+
+    async def _show_config(self, _: web.Request) -> web.Response:
+        return _json(self._sources.config.current.model_dump(mode="json"))
+
+    async def _show_status(self, _: web.Request) -> web.Response:
+        sources = self._sources
+        return _json(
+            {
+                "vm": _vm_document(sources.membership.own),
+                "may_serve": sources.config.may_serve,
+                "config_version": sources.config.current.version,
+                "config_validated_ms_ago": sources.config.vouch_age_ms,
+                "fleet": [_vm_document(vm) for vm in sources.membership.live],
+                "groups": await sources.groups(),
+                "platform": _platform_document(sources.platform()),
+                "counters": sources.metrics.counters,
+                "histograms": _histograms_document(sources.metrics),
+            }
+        )
+
+    async def _explain(self, request: web.Request) -> web.Response:
+        kind = request.query.get("kind")
+        account = request.query.get("account")
+        sources = self._sources
+        records = own_records(
+            sources.records, sources.membership.own.name, kind, account
+        )
+        records += await sources.peer_records(kind, account)
+        return _json({"records": sorted(records, key=lambda record: record["at"])})
+
+    async def _health(self, _: web.Request) -> web.Response:
+        status = self._sources.membership.own.status
+        serves = self._sources.config.may_serve and status == "live"
+        document = {"serves": serves, "status": status}
+        return _json(document, status=200 if serves else 503)
+
+
+def own_records(
+    records: Records, vm: str, kind: str | None, account: str | None
+) -> list[Document]:
+    """Return explain records, limited to a kind and an account if they are given."""
+    kinds = records.kinds if kind is None else (kind,)
+    return [
+        {"at": record.at, "vm": vm, "kind": record.kind, "details": record.details}
+        for name in kinds
+        for record in records.list(name)
+        if account is None or record.details.get("account") == account
+    ]
+
+
+def _json(document: Document, status: int = 200) -> web.Response:
+    return web.json_response(document, status=status)
+
+
+def _error(status: int, code: str, message: str, **extra: Any) -> web.Response:
+    document = {"error": code, "message": message, "findings": []}
+    return _json({**document, **extra}, status)
+
+
+def _refused_intent(findings: list[Finding]) -> web.Response:
+    listed = [finding._asdict() for finding in findings]
+    message = f"the intent has {len(listed)} findings"
+    return _error(422, "invalid_intent", message, findings=listed)
+
+
+def _refused_confirm(rejection: Rejection) -> web.Response:
+    return _error(
+        _REJECTION_STATUS[rejection.reason],
+        rejection.reason,
+        rejection.message,
+        moved=[change._asdict() for change in rejection.moved],
+        plans=list(rejection.plans),
+    )
+
+
+def _plan_document(plan: Plan) -> Document:
+    document = plan.model_dump(mode="json", exclude={"document", "changes"})
+    return {**document, "changes": [change._asdict() for change in plan.changes]}
+
+
+def _vm_document(vm: VmState) -> Document:
+    return vm._asdict()
+
+
+def _platform_document(status: PlatformStatus) -> Document:
+    return {**status._asdict(), "budget": status.budget._asdict()}
+
+
+def _histograms_document(metrics: Metrics) -> Document:
+    return {
+        "bounds_ms": list(BUCKET_BOUNDS_MS),
+        "statements": [
+            {"account": account, "class": kind, "counts": _counts(histogram)}
+            for (account, kind), histogram in sorted(metrics.histograms.items())
+        ],
+        "operations": {
+            name: _counts(histogram)
+            for name, histogram in sorted(metrics.timings.items())
+        },
+    }
+
+
+def _counts(histogram: Histogram) -> list[int]:
+    return list(histogram.counts)
--- /dev/null
+++ b/citronwood/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's service."""
--- /dev/null
+++ b/citronwood/settings.py
@@ -0,0 +1,202 @@
+"""Settings of the entry process, from flags and environment variables.
+
+A setting ``drain_s`` is the flag ``--drain-s`` or the variable ``CITRONWOOD_DRAIN_S``;
+the flag wins.
+"""
+
+import os
+from collections.abc import Iterator, Mapping
+from ipaddress import ip_address
+from pathlib import Path
+from typing import Annotated, Any, Literal, NamedTuple
+
+from pydantic import AnyHttpUrl, Field, SecretStr, ValidationError
+from pydantic_settings import BaseSettings, EnvSettingsSource, SettingsConfigDict
+
+from citronwood.errors import SettingsError
+
+PREFIX = "CITRONWOOD_"
+MIN_FLEET_SECRET_LENGTH = 32
+MIN_TOKEN_LENGTH = 16
+# Variables of the command line, which talks to an operator API.
+CLIENT_VARIABLES = ("CITRONWOOD_OPERATOR_URL",)
+EXIT_CODE_INVALID = 2
+
+Port = Annotated[int, Field(ge=1, le=65535)]
+VmName = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_-]{0,62}$")]
+_INNER_URL = r"tcp://[0-9a-fA-F.:\[\]]+:[0-9]{1,5}"
+InnerUrl = Annotated[str, Field(pattern=f"^{_INNER_URL}$")]
+InnerUrls = Annotated[str, Field(pattern=f"^({_INNER_URL}(,{_INNER_URL})*)?$")]
+
+
+class Settings(BaseSettings):
+    """Settings of one VM."""
+
+    model_config = SettingsConfigDict(env_prefix=PREFIX, extra="forbid", frozen=True)
+
+    vm_name: VmName = Field(description="name of this VM in the platform's list")
+    failure_domain: VmName = Field(description="failure domain of this VM")
+    listen_host: str = Field("127.0.0.1", description="IP address for callers")
+    listen_port: Port = Field(3306, description="TCP port for callers")
+    inner_host: str = Field("127.0.0.1", description="IP address for other VMs")
+    inner_port: Port = Field(7300, description="TCP port for other VMs")
+    advertised_url: InnerUrl | None = Field(
+        None, description="address for other VMs, tcp://IP:PORT, if it differs"
+    )
+    seeds: InnerUrls = Field(
+        "",
+        description="addresses of some other VMs, tcp://IP:PORT,..., for a start"
+        " while the platform's service is down",
+    )
+    operator_host: str = Field("127.0.0.1", description="IP address of the API")
+    operator_port: Port = Field(7400, description="TCP port of the operator API")
+    platform_url: AnyHttpUrl = Field(description="URL of the platform's service")
+    backend_user: str = Field("proxy", description="user on the backend servers")
+    backend_password: SecretStr = Field(description="password of that user")
+    fleet_secret: SecretStr = Field(description="secret that all VMs share")
+    operator_token: SecretStr = Field(description="token of the operator API")
+    tls_certificate: Path | None = Field(None, description="certificate file (PEM)")
+    tls_key: Path | None = Field(None, description="private key file (PEM)")
+    statsd_host: str | None = Field(None, description="host of the statsd server")
+    statsd_port: Port = Field(8125, description="UDP port of the statsd server")
+    log_format: Literal["plain", "json"] = Field("plain", description="plain or json")
+    log_level: Literal["debug", "info", "warning", "error"] = Field(
+        "info", description="debug, info, warning or error"
+    )
+    drain_s: Annotated[float, Field(ge=0, le=3600)] = Field(
+        30.0, description="seconds that a planned stop waits for requests"
+    )
+    platform_calls_per_s: Annotated[float, Field(gt=0, le=1000)] = Field(
+        3.0, description="budget of calls to the platform's service"
+    )
+    platform_burst: Annotated[int, Field(ge=1, le=1000)] = Field(
+        12, description="calls to the platform's service allowed at once"
+    )
+
+
+class LoadedSettings(NamedTuple):
+    """Settings with the source of each: ``flag``, ``variable`` or ``default``."""
+
+    settings: Settings
+    sources: dict[str, str]
+
+
+def flag_of(name: str) -> str:
+    """Return the flag of a setting."""
+    return "--" + name.replace("_", "-")
+
+
+def variable_of(name: str) -> str:
+    """Return the environment variable of a setting."""
+    return PREFIX + name.upper()
+
+
+def load_settings(flags: Mapping[str, str | None]) -> LoadedSettings:
+    """Return the settings or raise ``SettingsError`` with all findings.
+
+    Parameters
+    ----------
+    flags : mapping
+        Values given on the command line, by name of the setting; None if not given.
+    """
+    given = {name: value for name, value in flags.items() if value is not None}
+    variables = EnvSettingsSource(Settings)()
+    values = {**variables, **given}
+    findings = list(_unknown_variables())
+    settings: Settings | None = None
+    try:
+        settings = Settings(**given)  # type: ignore[arg-type]
+    except ValidationError as error:
+        findings += _field_findings(error)
+    findings += _cross_findings(values)
+    if findings or settings is None:
+        raise SettingsError(findings)
+    sources = {
+        name: _source(name, given, variables) for name in type(settings).model_fields
+    }
+    return LoadedSettings(settings, sources)
+
+
+def describe_settings(loaded: LoadedSettings) -> list[tuple[str, str, str]]:
+    """Return name, value and source of each setting; secrets are masked."""
+    return [
+        (name, _shown(getattr(loaded.settings, name)), loaded.sources[name])
+        for name in type(loaded.settings).model_fields
+    ]
+
+
+def _shown(value: Any) -> str:
+    return "-" if value is None else str(value)
+
+
+def _place(name: str) -> str:
+    return f"{flag_of(name)} ({variable_of(name)})"
+
+
+def _source(name: str, given: Mapping[str, Any], variables: Mapping[str, Any]) -> str:
+    if name in given:
+        return f"flag {flag_of(name)}"
+    if name in variables:
+        return f"variable {variable_of(name)}"
+    return "default"
+
+
+def _field_findings(error: ValidationError) -> Iterator[str]:
+    # The input is left out: it may be a secret.
+    for detail in error.errors(include_url=False, include_input=False):
+        name = str(detail["loc"][0])
+        if detail["type"] == "missing":
+            yield f"{_place(name)}: is required"
+        else:
+            yield f"{_place(name)}: {detail['msg']}"
+
+
+def _unknown_variables() -> Iterator[str]:
+    known = {variable_of(name) for name in Settings.model_fields}
+    known.update(CLIENT_VARIABLES)
+    for variable in sorted(os.environ):
+        if variable.startswith(PREFIX) and variable not in known:
+            yield f"{variable}: there is no such setting"
+
+
+def _cross_findings(values: Mapping[str, Any]) -> Iterator[str]:
+    """Yield what the types of the single settings do not tell."""
+    for name in ("listen_host", "inner_host", "operator_host"):
+        yield from _address_findings(name, values.get(name))
+    yield from _port_findings(values)
+    yield from _tls_findings(values)
+    for name, length in (
+        ("fleet_secret", MIN_FLEET_SECRET_LENGTH),
+        ("operator_token", MIN_TOKEN_LENGTH),
+    ):
+        if name in values and len(values[name]) < length:
+            yield f"{_place(name)}: must have at least {length} characters"
+
+
+def _address_findings(name: str, value: str | None) -> Iterator[str]:
+    if value is None:
+        return
+    try:
+        ip_address(value)
+    except ValueError:
+        yield f"{_place(name)}: must be an IP address"
+
+
+def _port_findings(values: Mapping[str, Any]) -> Iterator[str]:
+    seen: dict[str, str] = {}
+    for name in ("listen_port", "inner_port", "operator_port"):
+        value = str(values.get(name, Settings.model_fields[name].default))
+        if value in seen:
+            yield f"{_place(name)}: is the same as {flag_of(seen[value])}"
+        seen[value] = name
+
+
+def _tls_findings(values: Mapping[str, Any]) -> Iterator[str]:
+    pair = ("tls_certificate", "tls_key")
+    given = [name for name in pair if values.get(name)]
+    if len(given) == 1:
+        (missing,) = set(pair) - set(given)
+        yield f"{_place(missing)}: is required with {flag_of(given[0])}"
+    for name in given:
+        if not Path(values[name]).is_file():
+            yield f"{_place(name)}: there is no such file"
--- /dev/null
+++ b/citronwood/standin/replication.py
@@ -0,0 +1,175 @@
+"""Replication of a member: fetching log entries and applying them.
+
+A replica pulls entries from its primary over the MySQL protocol with a long poll.
+Each entry is stored durably before it is applied.
+"""
+
+import asyncio
+import logging
+from collections import deque
+from contextlib import suppress
+from time import monotonic
+from typing import Any
+
+import asyncmy
+from aiomisc.service import Service
+from asyncmy.errors import MySQLError
+
+from citronwood.backend.api import Position
+from citronwood.standin.calls import DIVERGENT
+from citronwood.standin.group import Member
+from citronwood.standin.store import Entry, Role, StoreError, TermRun
+
+log = logging.getLogger(__name__)
+
+REPLICATION_USER = "replication"
+POLL_TIMEOUT_MS = 50
+FETCH_LIMIT = 500
+# A fetch that takes longer than its long poll by this much belongs to a dead or
+# frozen connection.
+ANSWER_TIMEOUT_S = 1.0
+RETRY_S = 0.1
+
+
+class Replication:
+    """Keeps a replica in step with its primary."""
+
+    def __init__(self, member: Member) -> None:
+        self._member = member
+        self._store = member.store
+        self._arrivals: deque[tuple[int, float]] = deque()
+        # Entries from before a restart have no arrival time and are due.
+        self._due_lsn = member.store.received.lsn
+
+    async def run(self) -> None:
+        """Fetch and apply until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._fetch_forever())
+            group.create_task(self._apply_forever())
+
+    async def _fetch_forever(self) -> None:
+        while True:
+            if self._store.role is not Role.REPLICA:
+                await self._member.wait_role_change()
+                continue
+            following = asyncio.create_task(self._follow())
+            change = asyncio.create_task(self._member.wait_role_change())
+            try:
+                await asyncio.wait(
+                    [following, change], return_when=asyncio.FIRST_COMPLETED
+                )
+            finally:
+                await _cancel(following)
+                await _cancel(change)
+
+    async def _follow(self) -> None:
+        """Fetch from the current primary until the connection fails."""
+        term, address = self._store.term, self._store.primary_address
+        connection = None
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                connection = await self._connect(address)
+            while True:
+                await self._fetch_once(connection, term)
+        except (TimeoutError, OSError, RuntimeError, MySQLError) as error:
+            # The driver raises RuntimeError when a new connection is reset at once.
+            log.debug("standin: cannot replicate from %s: %r", address, error)
+        except StoreError as error:
+            log.info("standin: entries refused: %s", error)
+        finally:
+            if connection is not None:
+                connection.close()
+        await asyncio.sleep(RETRY_S)
+
+    async def _connect(self, address: str) -> Any:
+        host, _, port = address.rpartition(":")
+        return await asyncmy.connect(
+            host=host,
+            port=int(port),
+            user=REPLICATION_USER,
+            password=self._member.options.password,
+            autocommit=True,
+            use_unicode=False,
+            conv={},
+        )
+
+    async def _fetch_once(self, connection: Any, term: int) -> None:
+        after, sent_at = self._store.received, monotonic()
+        try:
+            rows = await _query(
+                connection,
+                f"CALL group_fetch({term}, {after.term}, {after.lsn}, {FETCH_LIMIT},"
+                f" {POLL_TIMEOUT_MS})",
+            )
+        except MySQLError as error:
+            if error.args[0] != DIVERGENT:
+                raise
+            await self._roll_back(connection, term)
+            return
+        self._take(term, after, sent_at, rows)
+
+    def _take(
+        self, term: int, after: Position, sent_at: float, rows: list[tuple[Any, ...]]
+    ) -> None:
+        head, entries = rows[0], [Entry(int(t), int(n), b) for t, n, b in rows[1:]]
+        self._store.append(term, after, entries)
+        if entries:
+            self._arrivals.append((entries[-1].lsn, monotonic()))
+        # The primary read the end of its log after the wait that it reports.
+        self._member.heard(int(head[1]), sent_at + int(head[2]) / 1e6)
+        self._member.notify()
+
+    async def _roll_back(self, connection: Any, term: int) -> None:
+        rows = await _query(connection, f"CALL group_terms({term})")
+        runs = [TermRun(int(t), int(first), int(last)) for t, first, last in rows]
+        if self._store.term == term and self._store.role is Role.REPLICA:
+            self._arrivals.clear()
+            self._due_lsn = prefix = self._store.common_prefix(runs)
+            self._member.truncate(prefix)
+
+    async def _apply_forever(self) -> None:
+        member, store = self._member, self._store
+        while True:
+            if member.is_primary:
+                self._arrivals.clear()
+                await member.wait_role_change()
+                self._due_lsn = store.received.lsn
+            wait_s = self._next_due_s()
+            last = min(self._due_lsn, store.applied.lsn + FETCH_LIMIT)
+            if last > store.applied.lsn:
+                member.apply(last)
+                await asyncio.sleep(0)
+            else:
+                await member.wait_change(wait_s)
+
+    def _next_due_s(self) -> float:
+        """Advance what the apply lag permits; return the wait for the next entry."""
+        lag_s, now = self._member.apply_lag_ms / 1000, monotonic()
+        while self._arrivals and self._arrivals[0][1] + lag_s <= now:
+            self._due_lsn = self._arrivals.popleft()[0]
+        return self._arrivals[0][1] + lag_s - now if self._arrivals else 1.0
+
+
+async def _query(connection: Any, sql: str) -> list[tuple[Any, ...]]:
+    async with asyncio.timeout(ANSWER_TIMEOUT_S + POLL_TIMEOUT_MS / 1000):
+        async with connection.cursor() as cursor:
+            await cursor.execute(sql)
+            return list(await cursor.fetchall())
+
+
+async def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    with suppress(asyncio.CancelledError):
+        await task
+
+
+class ReplicationService(Service):  # type: ignore[misc]
+    """Runs the replication of a member in its process."""
+
+    def __init__(self, member: Member, **kwargs: Any) -> None:
+        super().__init__(**kwargs)
+        self._replication = Replication(member)
+
+    async def start(self) -> None:
+        """Run until the process stops."""
+        await self._replication.run()
