--- /dev/null
+++ b/citronwood/standin/sql.py
@@ -0,0 +1,365 @@
+"""From MySQL statements to SQLite statements.
+
+The literals of a statement become parameters, so that what remains, the shape, can be
+translated once and cached; SQLite's own cache of prepared statements then works, too.
+"""
+
+import re
+from collections.abc import Callable
+from enum import StrEnum, auto
+from functools import lru_cache
+from typing import NamedTuple
+
+from sqlglot import transpile
+
+from citronwood.standin.store import Value
+
+MAX_PARAMETERS = 30_000
+MAX_CACHED_SHAPE = 8192
+
+# Each match begins with one of a few characters, which lets the engine skip the rest
+# of the text quickly; an alternation of words would be tried at every character.
+_TOKEN = re.compile(
+    r"""['"`@\#/\-\d](?:
+        (?<=')(?P<single>[^'\\]*(?:(?:\\.|'')[^'\\]*)*')
+      | (?<=")(?P<double>[^"\\]*(?:(?:\\.|"")[^"\\]*)*")
+      | (?<=\d)(?<![\w.$]\d)(?P<number>
+            (?:(?<=0)x[0-9a-fA-F]+|\d*(?:\.\d*)?(?:[eE][+-]?\d+)?)(?!\w))
+      | (?<=`)(?P<name>[^`]*`)
+      | (?<=@)(?P<variable>@?[\w$.]+)
+      | (?P<comment>(?<=/)\*(?!!).*?\*/|(?<=-)-[ \t][^\n]*|(?<=\#)[^\n]*)
+    )""",
+    re.VERBOSE | re.DOTALL,
+)
+_STRING_PREFIX = re.compile(
+    r"(?:_(?:binary|utf8mb4|utf8mb3|utf8|latin1|ascii)\s*|\b[xXnN])$", re.I
+)
+_SIZED_TYPE = re.compile(
+    r"\b(?:char|varchar|decimal|numeric|binary|varbinary|datetime|time)\s*\($", re.I
+)
+_ESCAPE = re.compile(r"\\(.)|''", re.DOTALL)
+_ESCAPE_DOUBLE = re.compile(r'\\(.)|""', re.DOTALL)
+_ESCAPES = {"n": "\n", "r": "\r", "t": "\t", "0": "\0", "b": "\b", "Z": "\x1a"}
+_WORD = re.compile(r"(?:\s|/\*.*?\*/|--[ \t][^\n]*\n|\#[^\n]*\n|\()*([A-Za-z]+)", re.S)
+_DATA_WORDS = {"SELECT", "INSERT", "UPDATE", "DELETE", "REPLACE", "WITH", "DO"}
+
+
+class Kind(StrEnum):
+    """What the member does with a statement."""
+
+    READ = auto()
+    WRITE = auto()
+    SCHEMA = auto()
+    BEGIN = auto()
+    COMMIT = auto()
+    ROLLBACK = auto()
+    SAVEPOINT = auto()
+    SET = auto()
+    SHOW = auto()
+    CALL = auto()
+    KILL = auto()
+    IGNORE = auto()
+    UNKNOWN = auto()
+
+
+class Plan(NamedTuple):
+    """Cached part of a statement.
+
+    ``waits`` tells that the statement may have to wait (named locks, SLEEP);
+    ``locking`` that it reads for a later write.
+    """
+
+    kind: Kind
+    sql: str
+    shape: str
+    locking: bool = False
+    waits: bool = False
+
+
+class Statement(NamedTuple):
+    """One statement: its plan, parameters and the literals as they were written."""
+
+    plan: Plan
+    params: list[Value]
+    literals: list[str]
+
+
+_KINDS = {
+    "SELECT": Kind.READ,
+    "WITH": Kind.READ,
+    "DO": Kind.READ,
+    "INSERT": Kind.WRITE,
+    "UPDATE": Kind.WRITE,
+    "DELETE": Kind.WRITE,
+    "REPLACE": Kind.WRITE,
+    "CREATE": Kind.SCHEMA,
+    "DROP": Kind.SCHEMA,
+    "ALTER": Kind.SCHEMA,
+    "TRUNCATE": Kind.SCHEMA,
+    "RENAME": Kind.SCHEMA,
+    "BEGIN": Kind.BEGIN,
+    "START": Kind.BEGIN,
+    "COMMIT": Kind.COMMIT,
+    "ROLLBACK": Kind.ROLLBACK,
+    "SAVEPOINT": Kind.SAVEPOINT,
+    "RELEASE": Kind.SAVEPOINT,
+    "SET": Kind.SET,
+    "SHOW": Kind.SHOW,
+    "DESCRIBE": Kind.SHOW,
+    "DESC": Kind.SHOW,
+    "EXPLAIN": Kind.SHOW,
+    "CALL": Kind.CALL,
+    "KILL": Kind.KILL,
+    "USE": Kind.IGNORE,
+    "LOCK": Kind.IGNORE,
+    "UNLOCK": Kind.IGNORE,
+    "FLUSH": Kind.IGNORE,
+    "ANALYZE": Kind.IGNORE,
+}
+
+Variables = Callable[[str], Value]
+
+
+def first_word(sql: str) -> str:
+    """Return the first word of a statement in upper case."""
+    match = _WORD.match(sql)
+    return "" if match is None else match.group(1).upper()
+
+
+def parse_statement(sql: str, variables: Variables) -> Statement:
+    """Split a statement into its cached plan and its parameters."""
+    if first_word(sql) not in _DATA_WORDS:
+        return Statement(_plan_other(sql), [], [])
+    shape, params, literals = _cut_literals(sql, variables)
+    if len(params) > MAX_PARAMETERS:
+        inline = iter([sqlite_literal(value) for value in params])
+        shape = re.sub(r"\?", lambda _: next(inline), shape)
+        return Statement(_plan_data.__wrapped__(shape), [], [])
+    if len(shape) > MAX_CACHED_SHAPE:
+        return Statement(_plan_data.__wrapped__(shape), params, literals)
+    return Statement(_plan_data(shape), params, literals)
+
+
+def _cut_literals(sql: str, variables: Variables) -> tuple[str, list[Value], list[str]]:
+    parts: list[str] = []
+    params: list[Value] = []
+    literals: list[str] = []
+    position, kept_end = 0, -1
+    for match in _TOKEN.finditer(sql):
+        group, start, end = match.lastgroup, match.start(), match.end()
+        if group == "name":
+            continue
+        if group == "comment":
+            parts += (sql[position:start], " ")
+            position = end
+            continue
+        if group == "number":
+            if _is_structural(sql, start, kept_end):
+                kept_end = end
+                continue
+            params.append(_number(sql[start:end]))
+        elif group == "variable":
+            params.append(variables(sql[start:end]))
+        else:
+            start = _prefix_start(sql, start)
+            params.append(unquote(sql[start:end]))
+        literals.append(sql[start:end])
+        parts += (sql[position:start], "?")
+        position = end
+    parts.append(sql[position:])
+    return "".join(parts), params, literals
+
+
+def _is_structural(sql: str, start: int, kept_end: int) -> bool:
+    """Tell whether a number is part of the shape: ORDER BY 1, DECIMAL(10, 2)."""
+    before = sql[max(0, start - 16) : start].rstrip()
+    last = before[-1:]
+    if last == ",":
+        return kept_end >= 0 and sql[kept_end:start].strip() == ","
+    if last == "(":
+        return _SIZED_TYPE.search(before) is not None
+    return last in ("Y", "y", "L", "l") and before.upper().endswith((" BY", "INTERVAL"))
+
+
+def _prefix_start(sql: str, start: int) -> int:
+    if start == 0 or not (sql[start - 1].isalnum() or sql[start - 1] == "_"):
+        return start
+    match = _STRING_PREFIX.search(sql[max(0, start - 10) : start])
+    return start if match is None else start - len(match.group())
+
+
+def _number(text: str) -> int | float | bytes:
+    if text.isdigit():
+        value = int(text)
+        # SQLite has 64-bit signed integers only.
+        return value if value < 1 << 63 else float(value)
+    if text[1] == "x":
+        return _from_hex(text[2:])
+    return float(text)
+
+
+def _from_hex(digits: str) -> bytes:
+    return bytes.fromhex(digits if len(digits) % 2 == 0 else "0" + digits)
+
+
+def unquote(text: str) -> str | bytes:
+    """Return the value of a string literal with MySQL's prefixes and escapes."""
+    binary = False
+    if text[0] not in "'\"":
+        prefix = text.rstrip("'\"")[: min(text.find("'") % 99, text.find('"') % 99)]
+        text = text[len(prefix) :]
+        if prefix in ("x", "X"):
+            return _from_hex(text[1:-1])
+        binary = prefix.strip().lower() == "_binary"
+    body = text[1:-1]
+    if "\\" in body or text[0] in body:
+        pattern = _ESCAPE if text[0] == "'" else _ESCAPE_DOUBLE
+        body = pattern.sub(_unescape, body)
+    if binary:
+        return body.encode("utf-8", "surrogateescape")
+    try:
+        body.encode()
+    except UnicodeEncodeError:
+        # Bytes that are not text, which the client sent without marking them.
+        return body.encode("utf-8", "surrogateescape")
+    return body
+
+
+def _unescape(match: re.Match[str]) -> str:
+    character = match.group(1)
+    if character is None:
+        return match.group()[0]
+    if character in "%_":
+        return "\\" + character
+    return _ESCAPES.get(character, character)
+
+
+def sqlite_literal(value: Value) -> str:
+    """Return a value as SQLite writes it in a statement."""
+    if value is None:
+        return "NULL"
+    if isinstance(value, bytes):
+        return f"x'{value.hex()}'"
+    if isinstance(value, str):
+        return "'" + value.replace("'", "''") + "'"
+    return repr(value)
+
+
+@lru_cache(maxsize=1024)
+def _plan_other(sql: str) -> Plan:
+    kind = _KINDS.get(first_word(sql), Kind.UNKNOWN)
+    return Plan(kind, sql, sql)
+
+
+_LOCKING = re.compile(
+    r"\s+(?:FOR\s+(?:UPDATE|SHARE)(?:\s+(?:NOWAIT|SKIP\s+LOCKED))?"
+    r"|LOCK\s+IN\s+SHARE\s+MODE)\b",
+    re.I,
+)
+_WAITS = re.compile(r"\b(?:GET_LOCK|SLEEP)\s*\(", re.I)
+_WRITES = re.compile(r"\b(?:INSERT|UPDATE|DELETE)\b", re.I)
+_REWRITES: list[tuple[re.Pattern[str], str]] = [
+    (re.compile(r"^(\s*)DO\b", re.I), r"\1SELECT"),
+    (re.compile(r"\bINSERT\s+IGNORE\b", re.I), "INSERT OR IGNORE"),
+    (re.compile(r"\(\s*\)\s*VALUES\s*\(\s*\)", re.I), "DEFAULT VALUES"),
+    (re.compile(r"<=>"), " IS "),
+    (re.compile(r"\bFROM\s+DUAL\b", re.I), ""),
+    (re.compile(r"&&"), " AND "),
+    (re.compile(r"\bCURRENT_TIMESTAMP\b(?:\s*\(\s*\))?", re.I), "now()"),
+    (re.compile(r"\bCURRENT_DATE\b(?:\s*\(\s*\))?", re.I), "curdate()"),
+    (re.compile(r"\bTRUE\b", re.I), "1"),
+    (re.compile(r"\bFALSE\b", re.I), "0"),
+]
+_UPSERT = re.compile(r"\bON\s+DUPLICATE\s+KEY\s+UPDATE\b", re.I)
+_NEW_ROW = re.compile(r"\bAS\s+(\w+)\s*$", re.I)
+_VALUES_OF = re.compile(r"\bVALUES\s*\(\s*(`?\w+`?)\s*\)", re.I)
+_NEEDS_TRANSLATION = re.compile(
+    r"\b(?:INTERVAL|CONVERT|DIV|XOR|REGEXP|RLIKE|STRAIGHT_JOIN|DATE_FORMAT|SUBSTRING"
+    r"|LOCATE|GROUP_CONCAT|EXTRACT|(?:LEFT|RIGHT|YEAR|MONTH|DAY|DATEDIFF)\s*\()"
+    r"|\bCAST\s*\(",
+    re.I,
+)
+_LIMITED = re.compile(
+    r"^\s*(?:DELETE\s+FROM|UPDATE)\s+(?P<table>`?\w+`?)(?P<set>\s+SET\s.*?)?"
+    r"(?P<where>\s+WHERE\s.*?)?(?P<order>\s+ORDER\s+BY\s.*?)?(?P<limit>\s+LIMIT\s+\S+)"
+    r"\s*$",
+    re.I | re.S,
+)
+
+
+@lru_cache(maxsize=4096)
+def _plan_data(shape: str) -> Plan:
+    word = first_word(shape)
+    kind = _KINDS[word]
+    if word == "WITH" and _WRITES.search(shape):
+        kind = Kind.WRITE
+    locking = kind is Kind.READ and _LOCKING.search(shape) is not None
+    sql = _LOCKING.sub("", shape) if kind is Kind.READ else shape
+    for pattern, replacement in _REWRITES:
+        sql = pattern.sub(replacement, sql)
+    if kind is Kind.WRITE:
+        sql = _rewrite_limit(_rewrite_upsert(sql))
+    if _NEEDS_TRANSLATION.search(sql):
+        sql = ";".join(transpile(sql, read="mysql", write="sqlite"))
+    waits = _WAITS.search(shape) is not None
+    return Plan(kind, sql.strip().rstrip(";"), shape, locking, waits)
+
+
+def _rewrite_upsert(sql: str) -> str:
+    match = _UPSERT.search(sql)
+    if match is None:
+        return sql
+    head, tail = sql[: match.start()].rstrip(), sql[match.end() :]
+    alias = _NEW_ROW.search(head)
+    if alias is not None:
+        head = head[: alias.start()]
+        tail = re.sub(rf"(`?)\b{alias.group(1)}\b\1\.", "excluded.", tail)
+    tail = _VALUES_OF.sub(r"excluded.\1", tail)
+    return f"{head} ON CONFLICT DO UPDATE SET {tail}"
+
+
+def _rewrite_limit(sql: str) -> str:
+    match = _LIMITED.match(sql)
+    if match is None:
+        return sql
+    part = {name: text or "" for name, text in match.groupdict().items()}
+    head = f"UPDATE {part['table']}{part['set']}"
+    if not part["set"]:
+        head = f"DELETE FROM {part['table']}"
+    return (
+        f"{head} WHERE rowid IN (SELECT rowid FROM {part['table']}"
+        f"{part['where']}{part['order']}{part['limit']})"
+    )
+
+
+def literal_names(statement: Statement, names: list[str]) -> list[str]:
+    """Return column names in which parameters are shown as they were written."""
+    if not any("?" in name for name in names):
+        return names
+    match = re.match(r"\s*SELECT\s+(.*)", statement.plan.shape, re.I | re.S)
+    items = [] if match is None else _split_list(match.group(1))
+    if len(items) != len(names):
+        return names
+    literals = iter(statement.literals)
+    shown = [re.sub(r"\?", lambda _: next(literals, "?"), item) for item in items]
+    return [
+        text.strip() if "?" in name else name
+        for name, text in zip(names, shown, strict=True)
+    ]
+
+
+def _split_list(text: str) -> list[str]:
+    """Split the select list at its commas; it ends at FROM, LIMIT or the like."""
+    items, depth, start = [], 0, 0
+    for match in re.finditer(r"[(),]|\b(?:FROM|LIMIT|WHERE|ORDER|UNION)\b", text, re.I):
+        token = match.group()
+        if token == "(":
+            depth += 1
+        elif token == ")":
+            depth -= 1
+        elif depth == 0:
+            items.append(text[start : match.start()])
+            start = match.end()
+            if token != ",":
+                return items
+    return [*items, text[start:].rstrip("; \n")]
--- /dev/null
+++ b/citronwood/standin/variables.py
@@ -0,0 +1,140 @@
+"""System and user variables of a session of the member stand-in."""
+
+import re
+from collections.abc import Callable
+
+from mysql_mimic.errors import MysqlError
+
+from citronwood.standin.store import Value
+
+UNKNOWN_VARIABLE = 1193
+
+SYSTEM_VARIABLES: dict[str, Value] = {
+    "autocommit": 1,
+    "auto_increment_increment": 1,
+    "character_set_client": "utf8mb4",
+    "character_set_connection": "utf8mb4",
+    "character_set_database": "utf8mb4",
+    "character_set_results": "utf8mb4",
+    "character_set_server": "utf8mb4",
+    "collation_connection": "utf8mb4_general_ci",
+    "collation_database": "utf8mb4_general_ci",
+    "collation_server": "utf8mb4_general_ci",
+    "default_storage_engine": "InnoDB",
+    "foreign_key_checks": 1,
+    "init_connect": "",
+    "innodb_lock_wait_timeout": 50,
+    "interactive_timeout": 28800,
+    "license": "GPL",
+    "lower_case_table_names": 0,
+    "max_allowed_packet": 1 << 20,
+    "max_execution_time": 0,
+    "net_write_timeout": 60,
+    "performance_schema": 0,
+    "query_cache_size": 0,
+    "query_cache_type": "OFF",
+    "sql_mode": "STRICT_TRANS_TABLES",
+    "sql_select_limit": None,
+    "system_time_zone": "UTC",
+    "time_zone": "SYSTEM",
+    "transaction_isolation": "REPEATABLE-READ",
+    "transaction_read_only": 0,
+    "tx_isolation": "REPEATABLE-READ",
+    "tx_read_only": 0,
+    "unique_checks": 1,
+    "version": "8.0.29",
+    "version_comment": "citronwood stand-in",
+    "wait_timeout": 28800,
+}
+
+_ASSIGNMENT = re.compile(
+    r"\s*(?:(?:GLOBAL|SESSION|LOCAL)\s+)?"
+    r"(?P<name>@@?(?:(?:global|session|local)\.)?[\w$]+|\w+)\s*:?=\s*(?P<value>.*)$",
+    re.I | re.S,
+)
+_IGNORED = re.compile(
+    r"\s*SET\s+(?:(?:SESSION|GLOBAL)\s+)?(?:NAMES|CHARACTER\s+SET|CHARSET"
+    r"|TRANSACTION|PASSWORD|ROLE)\b",
+    re.I,
+)
+_SCOPE = re.compile(r"^@@(?:(?:global|session|local)\.)?", re.I)
+_ON = {"on": 1, "true": 1, "off": 0, "false": 0}
+
+
+class Variables:
+    """Variables of one session."""
+
+    def __init__(self) -> None:
+        self._system: dict[str, Value] = {}
+        self._user: dict[str, Value] = {}
+        self.autocommit = True
+
+    def value(self, text: str) -> Value:
+        """Return the value of ``@name`` or ``@@name``."""
+        if text.startswith("@@"):
+            return self.system(_SCOPE.sub("", text))
+        return self._user.get(text[1:].lower())
+
+    def system(self, name: str) -> Value:
+        """Return the value of a system variable."""
+        key = name.lower()
+        if key == "autocommit":
+            return int(self.autocommit)
+        if key in self._system:
+            return self._system[key]
+        if key not in SYSTEM_VARIABLES:
+            raise MysqlError(f"Unknown system variable '{name}'", UNKNOWN_VARIABLE)
+        return SYSTEM_VARIABLES[key]
+
+    def all_system(self) -> dict[str, Value]:
+        """Return all system variables."""
+        names = SYSTEM_VARIABLES.keys() | self._system.keys()
+        return {name: self.system(name) for name in sorted(names)}
+
+    def assign(self, sql: str, evaluate: Callable[[str], Value]) -> None:
+        """Run a ``SET`` statement."""
+        if _IGNORED.match(sql):
+            return
+        body = re.sub(r"^\s*SET\s+", "", sql, flags=re.I).rstrip().rstrip(";")
+        for part in split_top_level(body):
+            match = _ASSIGNMENT.match(part)
+            if match is None:
+                raise MysqlError(f"SET is not understood near '{part[:40]}'", 1064)
+            self._assign_one(match.group("name"), match.group("value"), evaluate)
+
+    def _assign_one(
+        self, name: str, text: str, evaluate: Callable[[str], Value]
+    ) -> None:
+        if name.startswith("@") and not name.startswith("@@"):
+            self._user[name[1:].lower()] = evaluate(text)
+            return
+        key, word = _SCOPE.sub("", name).lower(), text.strip().lower()
+        if word in _ON:
+            value: Value = _ON[word]
+        elif word == "default":
+            value = SYSTEM_VARIABLES.get(key)
+        elif re.fullmatch(r"[a-z_]\w*", word) and word != "null":
+            value = text.strip()
+        else:
+            value = evaluate(text)
+        if key == "autocommit":
+            self.autocommit = value not in (0, "0")
+        else:
+            self._system[key] = value
+
+
+def split_top_level(text: str) -> list[str]:
+    """Split at the commas outside of quotes and parentheses."""
+    parts, depth, start = [], 0, 0
+    for match in re.finditer(
+        r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.|\"\")*\"|`[^`]*`|[(),]", text, re.S
+    ):
+        token = match.group()
+        if token == "(":
+            depth += 1
+        elif token == ")":
+            depth -= 1
+        elif token == "," and depth == 0:
+            parts.append(text[start : match.start()])
+            start = match.end()
+    return [*parts, text[start:]]
--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,254 @@
+"""Distribution of the configuration and the right to serve, with a fake fleet."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from citronwood.config import distribution
+from citronwood.config.distribution import ConfigDistributor, wait_until_in_force
+from citronwood.config.model import Configuration
+from citronwood.deadline import deadline_in
+from citronwood.inner.messages import VmState
+from citronwood.metrics import Metrics
+from citronwood.platform.budget import CallBudget
+from citronwood.platform.http import HttpPlatformClient
+from citronwood.standin.platform import StandinPlatform
+
+DOCUMENT = {"accounts": {}, "groups": {}, "routes": {}}
+
+
+def state(name, version=0):
+    return VmState(name, 1, 1, "tcp://127.0.0.1:1", "seattle", "live", version)
+
+
+class FakeMembership:
+    def __init__(self, names=("vm1", "vm2", "vm3")):
+        self.own = state(names[0])
+        self.live = tuple(state(name) for name in names)
+        self.majority = True
+
+    def is_dead(self, name):
+        return False
+
+    def heard_majority(self, within_s):
+        return self.majority
+
+
+class Fixture:
+    """One VM's distributor on a stand-in platform."""
+
+    def __init__(self, platform, client):
+        self.platform = platform
+        self.client = client
+        self.membership = FakeMembership()
+        self.peer_copy = None
+        self.metrics = Metrics()
+        self.config = ConfigDistributor(
+            client, self.membership, self.metrics, self.fetch
+        )
+
+    async def fetch(self, after_version):
+        return self.peer_copy
+
+    async def change(self, rate):
+        """Store a configuration whose only account has this rate."""
+        found = self.platform.store.get("config", "current")
+        document = DOCUMENT | {"accounts": {"a": {"rate": rate, "burst": 1}}}
+        async with HttpPlatformClient(self.platform.url, Metrics()) as client:
+            version = found[1] if found else 0
+            deadline = deadline_in(8)
+            return await client.put("config", "current", document, version, deadline)
+
+
+@contextlib.asynccontextmanager
+async def vm(started=True):
+    platform = StandinPlatform("127.0.0.1", 0)
+    await platform.start()
+    client = HttpPlatformClient(platform.url, Metrics(), CallBudget(100, 100))
+    fixture = Fixture(platform, client)
+    try:
+        if started:
+            assert await fixture.config.start(deadline_in(2))
+        yield fixture
+    finally:
+        await fixture.config.stop()
+        await client.close()
+        await platform.stop()
+
+
+@pytest.fixture
+def short_vouch(monkeypatch):
+    monkeypatch.setattr(distribution, "VOUCH_LIFETIME_S", 0.6)
+    monkeypatch.setattr(distribution, "WATCH_S", 0.3)
+    monkeypatch.setattr(distribution, "READ_S", 0.3)
+
+
+def copy_of(version, rate=1.0):
+    config = Configuration.model_validate(
+        {"version": version, "accounts": {"a": {"rate": rate, "burst": 1}}}
+    )
+    return version, config.model_dump_json().encode()
+
+
+def test_change_reaches_the_vm_and_its_callbacks():
+    async def scenario():
+        async with vm() as fixture:
+            seen = []
+            fixture.config.on_change(lambda config: 1 / 0)
+            fixture.config.on_change(lambda config: seen.append(config.version))
+            version = await fixture.change(5)
+            # Guards against one callback that fails and holds up the others.
+            assert await fixture.config.wait_for(version, deadline_in(1))
+            assert seen == [version]
+            assert not await fixture.config.wait_for(version + 1, deadline_in(0.1))
+
+    asyncio.run(scenario())
+
+
+def test_silent_watch_is_replaced_by_reading():
+    # A key is withdrawn while the store takes watches and never answers them.
+    async def scenario():
+        async with vm() as fixture:
+            fixture.platform.faults.silent_watches = True
+            await asyncio.sleep(0.5)
+            version = await fixture.change(5)
+            assert await fixture.config.wait_for(version, deadline_in(1.3))
+            assert fixture.metrics.counters["config.watches_failed"] >= 1
+
+    asyncio.run(scenario())
+
+
+def test_slow_store_delays_but_does_not_hide_a_change():
+    async def scenario():
+        async with vm() as fixture:
+            version = await fixture.change(5)
+            fixture.platform.faults.delay_ms = 700
+            version = await fixture.change(6)
+            assert await fixture.config.wait_for(version, deadline_in(6))
+
+    asyncio.run(scenario())
+
+
+def test_versions_never_revert():
+    async def scenario():
+        async with vm() as fixture:
+            await fixture.change(5)
+            assert fixture.config.offer(*copy_of(9))
+            assert not fixture.config.offer(*copy_of(8))
+            # Copies from peers are checked like everything that comes from outside.
+            assert not fixture.config.offer(10, copy_of(11)[1])
+            assert not fixture.config.offer(10, b"{")
+            await fixture.change(6)
+            await asyncio.sleep(1.5)
+            assert fixture.config.version == 9
+            assert fixture.config.copy(9) is None
+            assert fixture.config.copy(8) == copy_of(9)
+
+    asyncio.run(scenario())
+
+
+def test_entry_that_starts_in_an_outage_asks_its_peers():
+    async def scenario():
+        async with vm(started=False) as fixture:
+            await fixture.platform.refuse_connections()
+            assert not await fixture.config.start(deadline_in(0.5))
+            assert not fixture.config.may_serve
+            await fixture.config.stop()
+            fixture.peer_copy = copy_of(4)
+            assert await fixture.config.start(deadline_in(6))
+            assert fixture.config.version == 4
+            assert fixture.config.may_serve
+
+    asyncio.run(scenario())
+
+
+def test_isolated_vm_stops_serving_and_returns(short_vouch):
+    async def scenario():
+        async with vm() as fixture:
+            fixture.membership.majority = False
+            await asyncio.sleep(0.8)
+            # The store alone is enough.
+            assert fixture.config.may_serve
+            await fixture.platform.refuse_connections()
+            await asyncio.sleep(0.8)
+            assert not fixture.config.may_serve
+            fixture.config.heard_vouch(fixture.config.version, 100)
+            assert fixture.config.may_serve
+            await asyncio.sleep(0.8)
+            assert not fixture.config.may_serve
+            fixture.membership.majority = True
+            assert fixture.config.may_serve
+            fixture.membership.majority = False
+            await fixture.platform.listen()
+            await asyncio.sleep(2.5)
+            assert fixture.config.may_serve
+
+    asyncio.run(scenario())
+
+
+def test_whole_fleet_serves_through_an_outage_but_not_on_a_missed_version(short_vouch):
+    async def scenario():
+        async with vm() as fixture:
+            config = fixture.config
+            await fixture.platform.refuse_connections()
+            await asyncio.sleep(0.8)
+            assert config.may_serve
+            # A peer has a version that this VM missed: it may contain a withdrawal.
+            fixture.membership.live = (state("vm1"), state("vm2", 7))
+            assert not config.may_serve
+            assert config.offer(*copy_of(7))
+            assert config.may_serve
+            # A peer knows that a newer version is in force.
+            config.heard_vouch(8, 0)
+            assert not config.may_serve
+            assert config.offer(*copy_of(8))
+            assert config.may_serve
+            assert config.vouch_age_ms < 600
+
+    asyncio.run(scenario())
+
+
+def test_buffered_heartbeats_after_a_pause_are_not_trusted(short_vouch):
+    # A process that was stopped reads heartbeats that were fresh before the pause.
+    async def scenario():
+        async with vm() as fixture:
+            await fixture.platform.refuse_connections()
+            await asyncio.sleep(0.8)
+            assert fixture.config.may_serve
+            fixture.config._ticked_at -= 5
+            fixture.config.heard_vouch(fixture.config.version, 0)
+            assert not fixture.config.may_serve
+            await asyncio.sleep(0.2)
+            fixture.config.heard_vouch(fixture.config.version, 0)
+            assert not fixture.config.may_serve
+            await asyncio.sleep(distribution.DISTRUST_AFTER_PAUSE_S)
+            fixture.config.heard_vouch(fixture.config.version, 0)
+            assert fixture.config.may_serve
+
+    asyncio.run(scenario())
+
+
+def test_only_some_vms_of_a_large_fleet_watch(monkeypatch):
+    monkeypatch.setattr(distribution, "MAX_WATCHERS", 3)
+
+    async def scenario():
+        names = [f"vm{n}" for n in range(20)]
+        watching = []
+        for name in names:
+            membership = FakeMembership(names)
+            membership.own = state(name)
+            watching.append(ConfigDistributor(None, membership, Metrics())._watches())
+        assert sum(watching) == 3
+
+    asyncio.run(scenario())
+
+
+def test_vms_that_are_behind_are_named():
+    async def scenario():
+        membership = FakeMembership()
+        waiting = wait_until_in_force(membership, 3, deadline_in(0.3))
+        membership.live = (state("vm1", 3), state("vm2", 2), state("vm3", 4))
+        assert await waiting == ["vm2"]
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/test_fleet_operators.py
@@ -0,0 +1,195 @@
+"""Operators and their command line against a running fleet."""
+
+import asyncio
+import os
+import re
+import subprocess
+import sys
+from itertools import pairwise
+from time import monotonic
+
+import pytest
+from asyncmy.errors import MySQLError
+
+from tests.fleet import ACCOUNT, TABLE, TOKEN, Fleet, run, wait_until
+
+MAX_GAP_S = 0.3
+LEAVING_S = 2.0
+# Of the account "small".
+RATE, BURST = 5, 2
+CALLERS = 24
+
+
+@pytest.fixture
+def fleet(processes, tmp_path):
+    return Fleet(processes, tmp_path, 3, limits={"small": (RATE, BURST)})
+
+
+def citronwood(fleet, *arguments):
+    """Run a command against the first entry; return its exit code and output."""
+    environment = os.environ | {
+        "CITRONWOOD_OPERATOR_URL": fleet.operator_url,
+        "CITRONWOOD_OPERATOR_TOKEN": TOKEN,
+    }
+    command = [sys.executable, "-m", "citronwood", *arguments]
+    done = subprocess.run(
+        command, env=environment, capture_output=True, text=True, timeout=20
+    )
+    return done.returncode, done.stdout + done.stderr
+
+
+def confirm(fleet, *intent):
+    code, output = citronwood(fleet, "plan", *intent)
+    assert code == 0, output
+    plan = re.search(r"citronwood confirm (\S+)", output)[1]
+    code, output = citronwood(fleet, "confirm", plan)
+    assert code == 0, output
+    assert "in force on every live VM" in output
+
+
+async def write_until(connection, stopped, answered, errors):
+    while not stopped.is_set():
+        try:
+            await run(connection, "INSERT INTO pledges (household) VALUES ('x')")
+            answered.append(monotonic())
+        except MySQLError as error:
+            errors.append(error.args)
+        await asyncio.sleep(0.005)
+
+
+def primary(fleet):
+    _, status = fleet.operator_call("GET", "/v1/status")
+    return status["groups"]["pledges"]["primary"]
+
+
+def test_planned_change_of_primary_refuses_no_request(fleet):
+    # Fails when writes are refused or wait long while the primary changes.
+    answered, errors = [], []
+
+    async def scenario():
+        await run(await fleet.connect(), TABLE)
+        stopped = asyncio.Event()
+        connections = [await fleet.connect(name) for name in fleet.entries]
+        callers = [
+            asyncio.create_task(write_until(one, stopped, answered, errors))
+            for one in connections
+        ]
+        await asyncio.to_thread(confirm, fleet, "change-primary", "pledges", "m2")
+        await asyncio.to_thread(wait_until, lambda: primary(fleet) == "m2")
+        await asyncio.sleep(0.5)
+        stopped.set()
+        await asyncio.gather(*callers)
+
+    asyncio.run(scenario())
+    assert errors == []
+    gaps = [later - at for at, later in pairwise(answered)]
+    _, output = citronwood(fleet, "explain", "--kind", "primary_change")
+    assert "m2" in output
+    assert max(gaps) <= MAX_GAP_S
+
+
+def test_explain_shows_refusals_and_status_shows_the_fleet(fleet):
+    # Fails when an operator cannot see why requests of an account are refused.
+    async def scenario():
+        await run(await fleet.connect(), TABLE)
+        connections = [
+            await fleet.connect("vm02", user="small") for _ in range(CALLERS)
+        ]
+        started = monotonic()
+        # Together, because a single caller is slowed down instead of refused.
+        outcomes = await asyncio.gather(
+            *(run(one, "SELECT COUNT(*) FROM pledges") for one in connections),
+            return_exceptions=True,
+        )
+        elapsed = monotonic() - started
+        errors = [one for one in outcomes if isinstance(one, MySQLError)]
+        assert {error.args[0] for error in errors} == {9003}
+        await asyncio.to_thread(confirm, fleet, "withdraw-key", ACCOUNT, "k1")
+        with pytest.raises(MySQLError) as caught:
+            await fleet.connect("vm03")
+        assert caught.value.args[0] == 1045
+        return len(errors), elapsed
+
+    refused, elapsed = asyncio.run(scenario())
+    assert CALLERS - refused <= BURST + RATE * elapsed
+    # Requests wait 0.5 s, and up to 2 s after a ledger has left an exchange unanswered.
+    assert refused >= CALLERS - (BURST + RATE * 2.0)
+    code, output = citronwood(fleet, "explain", "--account", "small")
+    assert code == 0
+    lines = [line for line in output.splitlines() if "9003" in line]
+    assert len(lines) == refused
+    assert all("vm02 refusal" in line for line in lines)
+    assert all("rate 5.0, burst 2" in line for line in lines)
+    code, output = citronwood(fleet, "status")
+    assert code == 0
+    assert all(name in output for name in fleet.entries)
+    assert "pledges: primary m1" in output
+
+
+def test_second_of_two_operators_is_told_what_moved(fleet):
+    # Fails when a plan that was made on an older configuration is applied.
+    def intent(rate):
+        return {"kind": "set_rate", "account": ACCOUNT, "rate": rate, "burst": rate}
+
+    def confirm_at(name, plan):
+        path = f"/v1/plans/{plan['id']}/confirm"
+        return fleet.operator_call("POST", path, name=name)
+
+    async def race():
+        plans = {}
+        for name, rate in (("vm01", 700), ("vm02", 800)):
+            _, plans[name] = fleet.operator_call(
+                "POST", "/v1/plans", intent(rate), name
+            )
+        return await asyncio.gather(
+            *(asyncio.to_thread(confirm_at, name, plans[name]) for name in plans)
+        )
+
+    answers = asyncio.run(race())
+    assert sorted(status for status, _ in answers) == [200, 409]
+    (refusal,) = [body for status, body in answers if status == 409]
+    rate = 700 if answers[0][0] == 200 else 800
+    assert refusal["error"] == "moved"
+    assert any(str(rate) in str(change) for change in refusal["moved"]), refusal
+    for name in fleet.entries:
+        _, config = fleet.operator_call("GET", "/v1/config", name=name)
+        assert config["accounts"][ACCOUNT]["rate"] == rate
+
+
+@pytest.mark.parametrize("member", ["m1", "m2"])
+def test_leaving_member_gets_no_new_work(fleet, tmp_path, member):
+    # Fails when a member that is the primary (m1) or a replica still receives
+    # statements 2 s after the confirm.
+    answered, errors = [], []
+    kind = {"kind": "change_member", "group": "pledges", "member": member}
+    record = tmp_path / f"{member}.bytes"
+
+    async def read_until(connection, stopped):
+        while not stopped.is_set():
+            await run(connection, "SELECT COUNT(*) FROM pledges")
+
+    async def scenario():
+        await run(await fleet.connect(), TABLE)
+        stopped = asyncio.Event()
+        callers = []
+        for name in fleet.entries:
+            one, other = await fleet.connect(name), await fleet.connect(name)
+            callers.append(write_until(one, stopped, answered, errors))
+            callers.append(read_until(other, stopped))
+        callers = asyncio.gather(*callers)
+        await asyncio.sleep(1.0)
+        confirmed_at = monotonic()
+        await asyncio.to_thread(fleet.confirm, {**kind, "leaving": True})
+        await asyncio.sleep(confirmed_at + LEAVING_S - monotonic())
+        before = record.read_bytes()
+        await asyncio.sleep(2.0)
+        stopped.set()
+        await callers
+        written = sum(at > confirmed_at + LEAVING_S for at in answered)
+        return before, record.read_bytes()[len(before) :], written
+
+    before, after, written = asyncio.run(scenario())
+    assert before.count(b"pledges") > 50
+    assert after, "the member is no longer monitored"
+    assert (b"pledges" not in after, errors) == (True, [])
+    assert written > 50
--- /dev/null
+++ b/tests/test_group_idle.py
@@ -0,0 +1,179 @@
+"""Gateways without traffic: rare polls, and what must not suffer from them."""
+
+import asyncio
+import statistics
+import time
+
+from citronwood.backend.api import Reply
+from citronwood.backend.connection import BackendConnection
+from citronwood.backend.group import GroupView
+from citronwood.backend.host import Host
+from citronwood.backend.promotion import Promoter
+from citronwood.metrics import Metrics
+from citronwood.operator.records import Records
+from tests.group_cluster import GROUP, LOGIN, make_status, run, wait_until
+
+WRITE = "INSERT INTO w (n) VALUES (1)"
+
+
+async def wait_for_rest(*gateways):
+    for gateway in gateways:
+        await wait_until(lambda g=gateway: g._access._resting)
+
+
+def test_idle_gateway_sends_few_statements(cluster, monkeypatch):
+    """Guards against control that costs as much without traffic as with it."""
+    calls, original, seconds = [], BackendConnection.query, 3.0
+
+    async def counted(self, sql, deadline):
+        calls.append(sql)
+        return await original(self, sql, deadline)
+
+    async def scenario():
+        async with cluster.gateways() as (gateway,):
+            await wait_for_rest(gateway)
+            monkeypatch.setattr(BackendConnection, "query", counted)
+            await asyncio.sleep(seconds)
+            assert gateway.view.live_primary is not None
+            print(f"{len(calls) / seconds:.1f} statements/s")
+            assert len(calls) < 12 * seconds
+
+    asyncio.run(scenario())
+
+
+def test_first_read_after_a_pause_is_served_by_a_replica(cluster):
+    """Guards against taking a replica that was not polled for a while as failed."""
+
+    async def scenario():
+        async with cluster.gateways() as (gateway,):
+            floor = (await run(gateway, WRITE, "write")).position
+            for pause_s in (0.4, 0.6, 0.8, 1.1):
+                await asyncio.sleep(pause_s)
+                reply = await run(gateway, "SELECT n FROM w", "read", floor=floor)
+                assert reply.replica
+                await asyncio.sleep(pause_s)
+                reply = await run(gateway, "SELECT n FROM w", "read", max_age_ms=300)
+                assert reply.replica
+
+    asyncio.run(scenario())
+
+
+def test_commit_is_seen_when_polls_stopped_responding(start_cluster):
+    """Guards against a commit that waits for the timeout of a rare poll."""
+    cluster = start_cluster(proxied=True)
+
+    async def scenario():
+        async with cluster.gateways() as (gateway,):
+            await asyncio.sleep(0.5)
+            await run(gateway, WRITE, "write")
+            await asyncio.sleep(0.05)
+            cluster.links["m2"].freeze()
+            cluster.links["m3"].freeze()
+            started = time.monotonic()
+            assert isinstance(await run(gateway, WRITE, "write"), Reply)
+            waited_s = time.monotonic() - started
+            print(f"waited {waited_s:.3f} s")
+            assert waited_s < 0.8
+
+    asyncio.run(scenario())
+
+
+def test_gap_without_traffic(cluster):
+    """Guards against a change of primary that waits for the poll of a replica."""
+
+    async def scenario():
+        gaps = []
+        async with cluster.gateways(2) as gateways:
+            for turn in range(3):
+                await wait_for_rest(*gateways)
+                old = gateways[0].view.primary.member
+                cluster.kill(old)
+                started = time.monotonic()
+                # The key lets a write that meets the dying primary be sent again.
+                reply = await run(
+                    gateways[1], WRITE, "write", idempotency_key=f"k{turn}"
+                )
+                assert isinstance(reply, Reply), reply
+                gaps.append(time.monotonic() - started)
+                cluster.start(old)
+                await wait_until(
+                    lambda m=old: gateways[0].view.status(m).role == "replica"
+                )
+        print(f"gaps {gaps}")
+        assert statistics.median(gaps) < 0.8
+        assert max(gaps) < 2.0
+
+    asyncio.run(scenario())
+
+
+def test_replica_is_asked_before_it_counts_as_cut_off():
+    """Guards against a change of primary for a report that is merely old."""
+    view = GroupView(GROUP)
+    host = Host("vm1", LOGIN, lambda: 0, Records(), Metrics())
+    promoter = Promoter("g", view, {}, host, None)
+    now = time.monotonic()
+    view.publish(make_status(member="m1", role="primary", received_at=now - 0.5))
+    old = make_status(primary_heard_ms=250, received_at=now - 0.25)
+    for name in ("m2", "m3"):
+        view.publish(old._replace(member=name))
+    assert promoter.find_reason() is None
+    for name in ("m2", "m3"):
+        view.publish(make_status(member=name, primary_heard_ms=450))
+    assert promoter.find_reason() is not None
+
+
+def test_first_write_during_a_planned_change_waits(cluster):
+    """Guards against a gateway without traffic that misses a planned change."""
+
+    async def scenario():
+        async with cluster.gateways(2) as (first, second):
+            change = first._handover._change
+
+            async def slow_change(reason, target):
+                await asyncio.sleep(0.1)
+                return await change(reason, target)
+
+            first._handover._change = slow_change
+            for term, target in enumerate(("m2", "m3", "m1"), start=2):
+                await wait_for_rest(first, second)
+                started = time.monotonic()
+                planned = asyncio.create_task(first.change_primary(target))
+                await asyncio.sleep(0.05)
+                reply = await run(second, WRITE, "write")
+                assert isinstance(reply, Reply), reply
+                assert reply.position.term == term, "written to the old primary"
+                assert await planned
+                assert time.monotonic() - started < 0.1 + 0.3
+
+    asyncio.run(scenario())
+
+
+def test_lost_lock_of_a_rest_is_taken_again(cluster):
+    """Guards against a planned change that waits for a gateway without traffic."""
+
+    async def scenario():
+        async with cluster.gateways(2) as (first, second):
+            await wait_for_rest(first, second)
+            connection = second._controls["m1"]._command_connection
+            await cluster.command("m1", f"KILL {connection.connection_id}")
+            await asyncio.sleep(1.5)
+            started = time.monotonic()
+            assert await first.change_primary("m2")
+            assert time.monotonic() - started < 0.3
+
+    asyncio.run(scenario())
+
+
+def test_stall_without_traffic_changes_nothing(cluster):
+    """Guards against a change of primary for a stall between rare polls."""
+
+    async def scenario():
+        async with cluster.gateways(2) as gateways:
+            for turn in range(10):
+                await cluster.command("m1", "CALL standin_set('stall_ms', 200)")
+                await asyncio.sleep(0.45 + turn * 0.03)
+            for gateway in gateways:
+                assert gateway.view.highest_term == 1
+                assert isinstance(await run(gateway, WRITE, "write"), Reply)
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/test_inner_rpc.py
@@ -0,0 +1,289 @@
+"""Calls between VMs: outcomes, refusals and connections that stop responding."""
+
+import asyncio
+import time
+from typing import NamedTuple
+
+import aiohttp
+import msgspec
+import pytest
+
+from citronwood.deadline import deadline_in
+from citronwood.errors import (
+    CallFailedError,
+    DeadlineExceededError,
+    MessageError,
+    PeerUnavailableError,
+)
+from citronwood.inner.codec import MAX_BODY_BYTES, Codec, encode_envelope
+from citronwood.inner.messages import (
+    MAX_MESSAGE_BYTES,
+    PROTOCOL_VERSION,
+    EndSession,
+    Envelope,
+    FetchConfiguration,
+    RowChunk,
+    SessionEnded,
+)
+from tests.fleet_helpers import SECRET, eventually, make_rpc, rpcs, run
+
+
+class Question(NamedTuple):
+    number: int
+    pause_s: float = 0.0
+    padding: bytes = b""
+
+
+class Solution(NamedTuple):
+    number: int
+
+
+async def answer(question, caller):
+    await asyncio.sleep(question.pause_s)
+    return Solution(question.number * 2)
+
+
+def test_concurrent_calls_receive_their_own_answers():
+    # Guards against answers that reach another call when they arrive out of order.
+    async def work():
+        async with rpcs("a", "b") as (a, b):
+            b.serve(Question, answer)
+
+            async def ask(number):
+                question = Question(number, (number % 7) / 200)
+                reply = await a.call(b.url, question, Solution, deadline_in(5))
+                assert reply.number == number * 2
+
+            await asyncio.gather(*(ask(number) for number in range(500)))
+            frames, messages, _ = a.transport.sent
+            assert messages == 500
+            assert frames < 250, "queued messages share frames"
+
+    run(work())
+
+
+def test_call_that_was_not_handed_over_is_not_run():
+    # Guards against "unknown" for a peer that was never reached.
+    async def work():
+        async with rpcs("a") as (a,):
+            with pytest.raises(PeerUnavailableError):
+                await a.call(
+                    "tcp://127.0.0.1:1", Question(1), Solution, deadline_in(0.3)
+                )
+
+    run(work())
+
+
+def test_cancelled_message_is_not_sent_later():
+    # Guards against a "not run" that runs when the peer comes back.
+    async def work():
+        async with rpcs("a", "b") as (a, b):
+            url = b.url
+            await b.close()
+            with pytest.raises(PeerUnavailableError):
+                await a.call(url, Question(1), Solution, deadline_in(0.3))
+            seen = []
+
+            async def record(question, caller):
+                seen.append(question.number)
+                return Solution(question.number)
+
+            again = make_rpc("b", url=url)
+            again.serve(Question, record)
+            await a.call(url, Question(2), Solution, deadline_in(5))
+            assert seen == [2]
+            await again.close()
+
+    run(work())
+
+
+def test_late_answer_is_dropped():
+    # Guards against a late answer that is given to the next call.
+    async def work():
+        async with rpcs("a", "b") as (a, b):
+            b.serve(Question, answer)
+            with pytest.raises(DeadlineExceededError):
+                await a.call(b.url, Question(1, 0.2), Solution, deadline_in(0.1))
+            reply = await a.call(b.url, Question(2, 0.2), Solution, deadline_in(5))
+            assert reply.number == 4
+            assert a._metrics.counters["inner.late_answers"] == 1
+
+    run(work())
+
+
+def test_failing_handler_reports_unknown_and_missing_handler_not_run():
+    async def fail(question, caller):
+        raise ValueError("fault")
+
+    async def work():
+        async with rpcs("a", "b") as (a, b):
+            with pytest.raises(PeerUnavailableError, match="unknown_type"):
+                await a.call(b.url, Question(1), Solution, deadline_in(5))
+            b.serve(Question, fail)
+            with pytest.raises(CallFailedError, match="ValueError"):
+                await a.call(b.url, Question(1), Solution, deadline_in(5))
+
+    run(work())
+
+
+def test_handler_sees_the_time_left_and_the_sender():
+    async def work():
+        async with rpcs("a", "b") as (a, b):
+            callers = []
+
+            async def note(message, caller):
+                callers.append((caller, time.monotonic()))
+                return SessionEnded()
+
+            b.serve(EndSession, note)
+            await a.call(b.url, EndSession("s"), SessionEnded, deadline_in(3))
+            caller, now = callers[0]
+            assert (caller.name, caller.url) == ("a", a.url)
+            assert caller.incarnation == a.incarnation
+            assert 2.0 < caller.deadline - now <= 3.0
+
+    run(work())
+
+
+def test_oversized_messages_are_refused_by_the_sender():
+    async def work():
+        async with rpcs("a", "b") as (a, b):
+            b.serve(Question, answer)
+            largest = Question(3, 0.0, b"x" * (MAX_BODY_BYTES - 100))
+            reply = await a.call(b.url, largest, Solution, deadline_in(5))
+            assert reply.number == 6
+            too_long = Question(3, 0.0, b"x" * MAX_BODY_BYTES)
+            with pytest.raises(MessageError):
+                await a.call(b.url, too_long, Solution, deadline_in(5))
+
+            async def long_answer(message, caller):
+                return RowChunk([[b"x" * MAX_MESSAGE_BYTES]], False, None)
+
+            b.serve(FetchConfiguration, long_answer)
+            with pytest.raises(CallFailedError, match="too long"):
+                await a.call(b.url, FetchConfiguration(0), RowChunk, deadline_in(5))
+
+    run(work())
+
+
+def _frames():
+    envelope = Envelope(
+        version=PROTOCOL_VERSION,
+        kind="Question",
+        sender="x",
+        incarnation=1,
+        sender_url="tcp://127.0.0.1:1",
+        call_id=0,
+        is_reply=False,
+        time_left_ms=100,
+        body=msgspec.msgpack.encode(Question(1)),
+    )
+    good = Codec(SECRET).encode_frame([encode_envelope(envelope)])
+
+    def one(**changes):
+        changed = envelope._replace(**changes)
+        return Codec(SECRET).encode_frame([encode_envelope(changed)])
+
+    stranger = Codec(b"other").encode_frame([encode_envelope(envelope)])
+    return [
+        ("malformed", b""),
+        ("malformed", b"\x01abc"),
+        ("foreign_version", bytes([9]) + good[1:]),
+        ("bad_mac", good[:-1] + bytes([good[-1] ^ 1])),
+        ("bad_mac", stranger),
+        ("malformed", Codec(SECRET).encode_frame([b"\x01"])),
+        ("malformed", Codec(SECRET).encode_frame([b"\x91" * 5000])),
+        ("foreign_version", one(version=7)),
+        ("unknown_type", one(kind="Nonsense")),
+        ("malformed", one(body=b"\xc1")),
+        ("malformed", one(body=msgspec.msgpack.encode(["no", 1, b""]))),
+    ]
+
+
+def test_bad_frames_are_counted_and_do_no_harm():
+    # Guards against a frame that stops the receiver or is acted upon.
+    async def work():
+        async with rpcs("a", "b") as (a, b):
+            handled = []
+
+            async def record(question, caller):
+                handled.append(question)
+                return Solution(question.number)
+
+            b.serve(Question, record)
+            expected = {}
+            async with aiohttp.ClientSession() as session:
+                url = b.url.replace("tcp", "ws", 1)
+                stranger = await session.ws_connect(url)
+                for reason, frame in _frames():
+                    await stranger.send_bytes(frame)
+                    name = f"inner.refused.{reason}"
+                    expected[name] = expected.get(name, 0) + 1
+                await eventually(lambda: b._metrics.counters == expected)
+                await stranger.send_bytes(b"x" * (MAX_MESSAGE_BYTES + 1))
+                expected["inner.refused.oversized"] = 1
+                await eventually(lambda: b._metrics.counters == expected)
+            assert handled == []
+            reply = await a.call(b.url, Question(4), Solution, deadline_in(5))
+            assert reply.number == 4
+
+    run(work())
+
+
+class _Relay:
+    """Forwards connections; the ones open at ``freeze`` never respond again."""
+
+    def __init__(self, target_url):
+        self._port = int(target_url.rsplit(":", 1)[1])
+        self._frozen = []
+        self._open = []
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return f"tcp://127.0.0.1:{port}"
+
+    def freeze(self):
+        for thawed in self._open:
+            thawed.clear()
+
+    async def _serve(self, reader, writer):
+        thawed = asyncio.Event()
+        thawed.set()
+        self._open.append(thawed)
+        other = await asyncio.open_connection("127.0.0.1", self._port)
+        await asyncio.gather(
+            self._copy(reader, other[1], thawed), self._copy(other[0], writer, thawed)
+        )
+
+    async def _copy(self, reader, writer, thawed):
+        while data := await reader.read(65536):
+            await thawed.wait()
+            writer.write(data)
+
+
+@pytest.mark.parametrize("direction", ["request", "answer"])
+def test_connection_that_stops_responding_is_replaced(direction):
+    # Guards against waiting for ever on a connection that is dead but not closed,
+    # while a new one would work; in both directions.
+    async def work():
+        async with rpcs("b") as (b,):
+            b.serve(Question, answer)
+            a = make_rpc("a")
+            relay = _Relay(b.url if direction == "request" else a.url)
+            relay_url = await relay.start()
+            target = b.url
+            if direction == "request":
+                target = b._url = relay_url
+            else:
+                a._url = relay_url
+            await a.call(target, Question(1), Solution, deadline_in(5))
+            relay.freeze()
+            await asyncio.sleep(0.6)
+            with pytest.raises(DeadlineExceededError):
+                await a.call(target, Question(1), Solution, deadline_in(0.3))
+            reply = await a.call(target, Question(5), Solution, deadline_in(3))
+            assert reply.number == 10
+            await a.close()
+
+    run(work())
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,461 @@
+"""Membership and placement with several VMs over real sockets in one process."""
+
+import asyncio
+import heapq
+import random
+import time
+from contextlib import asynccontextmanager
+
+import pytest
+
+from citronwood.errors import PlatformUnavailableError
+from citronwood.fleet import entries as entries_module
+from citronwood.fleet import membership as membership_module
+from citronwood.fleet.entries import Liveness
+from citronwood.fleet.membership import FleetMembership
+from citronwood.fleet.placement import choose_gateways, choose_ledgers, rank
+from citronwood.inner.codec import encode_body
+from citronwood.inner.messages import VmState
+from citronwood.inner.rpc import Caller
+from citronwood.platform.api import Vm
+from tests.fleet_helpers import eventually, make_rpc, run
+
+pytestmark = pytest.mark.realtime
+
+
+class ListOnly:
+    """Platform that only lists VMs; None stands for an outage."""
+
+    def __init__(self, vms=None):
+        self.vms = vms
+
+    async def list_vms(self, deadline):
+        if self.vms is None:
+            raise PlatformUnavailableError("outage")
+        return self.vms
+
+
+def make_member(name, seeds=(), platform=None, url="tcp://127.0.0.1:0"):
+    rpc = make_rpc(name, url=url)
+    member = FleetMembership(rpc, f"d{int(name[2:]) % 3}", tuple(seeds), platform)
+    member.changes = []
+    member.on_change(member.changes.append)
+    member.start()
+    return member
+
+
+async def stop(member):
+    await member.close()
+    await member._rpc.close()
+
+
+@asynccontextmanager
+async def fleet(size):
+    members = [make_member("vm0")]
+    seeds = [members[0].own.url]
+    members += [make_member(f"vm{number}", seeds) for number in range(1, size)]
+    await eventually(lambda: all(len(one.live) == size for one in members), 10)
+    yield members
+    for member in members:
+        await stop(member)
+
+
+def test_dead_vm_is_suspected_in_time_and_ends_its_sessions():
+    # Guards against roles that stay with a dead VM, and against a late detection.
+    async def work():
+        async with fleet(18) as members:
+            victim = members.pop()
+            name, incarnation = victim.own.name, victim.own.incarnation
+            await stop(victim)
+            stopped = time.monotonic()
+            await eventually(lambda: all(len(one.live) == 17 for one in members), 4)
+            assert 1.0 < time.monotonic() - stopped < 3.5
+            await eventually(lambda: all(one.is_dead(name) for one in members), 8)
+            assert 4.0 < time.monotonic() - stopped < 9
+            for member in members:
+                ended = [one for one in member.changes if one.ended_incarnation]
+                assert [(one.name, one.ended_incarnation) for one in ended] == [
+                    (name, incarnation)
+                ]
+                assert member.heard_majority(2.0)
+
+    run(work())
+
+
+def _stall(member, length):
+    """Lose everything that the VM sends and receives for a while."""
+    until = time.monotonic() + length
+    beat, receive = member._beat, member._rpc._receive
+
+    def wrapped(function):
+        return lambda *args: function(*args) if time.monotonic() > until else None
+
+    member._beat = wrapped(beat)
+    member._rpc._transport._receiver = wrapped(receive)
+
+
+def test_stalls_of_300_ms_cause_no_suspicion():
+    # Guards against roles that move because of a short pause.
+    async def work():
+        async with fleet(12) as members:
+            for member in members:
+                member.changes.clear()
+            for turn in range(8):
+                for number in range(3):
+                    _stall(members[(turn * 3 + number) % 12], 0.3)
+                await asyncio.sleep(0.5)
+            assert [one for member in members for one in member.changes] == []
+
+    run(work())
+
+
+def test_restarted_vm_ends_its_earlier_process_and_returns():
+    async def work():
+        async with fleet(3) as members:
+            victim = members[2]
+            old = victim.own
+            await stop(victim)
+            await asyncio.sleep(0.05)
+            members[2] = make_member("vm2", [members[0].own.url], url=old.url)
+            await eventually(
+                lambda: any(
+                    one.ended_incarnation == old.incarnation
+                    for one in members[0].changes
+                )
+            )
+            await eventually(lambda: len(members[0].live) == 3, 6)
+            assert not members[0].is_dead("vm2")
+
+    run(work())
+
+
+def test_vm_that_comes_back_from_a_partition_is_live_again():
+    async def work():
+        async with fleet(3) as members:
+            _stall(members[2], 5.6)
+            await eventually(lambda: members[0].is_dead("vm2"), 8)
+            assert not members[2].heard_majority(2.0)
+            assert members[0].heard_majority(2.0)
+            await eventually(
+                lambda: all(len(one.live) == 3 for one in members), timeout=7
+            )
+
+    run(work())
+
+
+def test_leaving_vm_loses_its_roles_but_is_not_dead():
+    async def work():
+        async with fleet(3) as members:
+            members[1].leave()
+            await eventually(lambda: len(members[0].live) == 2)
+            assert not members[0].is_dead("vm1")
+            assert [vm.name for vm in members[1].live] == ["vm0", "vm2"]
+
+    run(work())
+
+
+def test_vm_that_has_ended_by_plan_is_dead_at_once():
+    # Guards against peers that wait for a process that is gone, and against one that
+    # comes back by an old heartbeat.
+    async def work():
+        async with fleet(3) as members:
+            ended = members[1].own.incarnation
+            members[1].leave()
+            members[1].end()
+            peers = (members[0], members[2])
+            await eventually(lambda: all(one.is_dead("vm1") for one in peers), 0.5)
+            for one in peers:
+                last = [change for change in one.changes if change.name == "vm1"][-1]
+                assert last.ended_incarnation == ended
+            await asyncio.sleep(0.5)
+            assert all(one.is_dead("vm1") for one in peers)
+
+    run(work())
+
+
+def test_platform_list_adds_and_removes_and_tolerates_outages():
+    # Guards against a VM that cannot join without seeds, and against one that takes
+    # roles after the platform removed it.
+    async def work():
+        platform = ListOnly()
+        first = make_member("vm0", platform=platform)
+        second = make_member("vm1")
+        await asyncio.sleep(0.1)
+        assert not first.heard_majority(2.0), "nothing is known of the fleet"
+        own, other = (
+            Vm(one.own.name, one.own.url, "d", "live") for one in (first, second)
+        )
+        absent = Vm("vm9", "tcp://127.0.0.1:1", "d", "live")
+        first.apply_list([own, other, absent])
+        await eventually(lambda: len(first.live) == 2 and len(second.live) == 2)
+        assert first.heard_majority(2.0), "2 of the 3 that are listed"
+        first.apply_list([])
+        assert len(first.live) == 2, "an empty list is a fault of the platform"
+        first.apply_list([own, absent])
+        assert first.is_dead("vm1")
+        await asyncio.sleep(0.5)
+        assert first.is_dead("vm1"), "its heartbeats do not bring it back"
+        first.apply_list([own, other])
+        await eventually(lambda: len(first.live) == 2)
+        for member in (first, second):
+            await stop(member)
+
+    run(work())
+
+
+@pytest.mark.parametrize("falls_silent", [False, True])
+def test_leaving_vm_that_the_list_drops_is_dead_only_when_it_ends(falls_silent):
+    # Guards against transactions that end because the list is faster than the VM, and
+    # against a VM that was dropped and stays for ever or comes back.
+    async def work():
+        async with fleet(3) as members:
+            first, leaving = members[:2]
+            listed = [Vm(one.own.name, one.own.url, "d", "live") for one in members]
+            first.apply_list(listed)
+            leaving.leave()
+            await eventually(lambda: len(first.live) == 2)
+            first.apply_list([listed[0], listed[2]])
+            await asyncio.sleep(2.0)
+            assert not first.is_dead("vm1")
+            if falls_silent:
+                _stall(leaving, 3.0)
+                await eventually(lambda: first.is_dead("vm1"), 2.5)
+                await asyncio.sleep(1.0)
+            else:
+                leaving.end()
+                await eventually(lambda: first.is_dead("vm1"), 0.5)
+            await asyncio.sleep(1.0)
+            assert first.is_dead("vm1")
+            ended = [one.ended_incarnation for one in first.changes if one[2]]
+            assert ended == [leaving.own.incarnation]
+
+    run(work())
+
+
+def test_table_is_bounded_in_large_fleets():
+    async def work():
+        member = make_member("vm0")
+        await member.close()
+        now = time.monotonic()
+        names = {f"vm{number}" for number in range(1, 620)}
+        for counter in (1, 2):
+            for name in names:
+                state = VmState(name, 1, counter, "tcp://127.0.0.1:9", "d", "live", 7)
+                member._merge(state, now, direct=False)
+        assert len(member.live) == 620
+        seen = set()
+        for _ in range(30):
+            table = member._table(now)
+            assert len(table) <= 49
+            seen |= {state.name for state in table}
+        assert len(seen) > 600, "the rotating part reaches everybody"
+        assert 5 < member.suspect_after_s < 6
+        await member._rpc.close()
+
+    run(work())
+
+
+def _vms(count):
+    return [
+        VmState(f"vm{n}", 1, 1, f"tcp://127.0.0.1:{n}", f"d{n % 3}", "live", 0)
+        for n in range(count)
+    ]
+
+
+def test_gateways_lie_in_different_failure_domains():
+    vms = _vms(18)
+    firsts = set()
+    for number in range(200):
+        chosen = choose_gateways(f"g{number}", vms)
+        assert len({vm.failure_domain for vm in chosen}) == 2
+        firsts.add(chosen[0].name)
+    assert len(firsts) == 18
+    same = [vm for vm in vms if vm.failure_domain == "d1"]
+    assert len(choose_gateways("g", same)) == 2
+    assert len(choose_gateways("g", vms[:1])) == 1
+    assert choose_gateways("g", []) == []
+
+
+def test_a_leaving_vm_moves_only_its_own_roles():
+    vms = _vms(18)
+    rest = [vm for vm in vms if vm.name != "vm3"]
+    moved = 0
+    for number in range(100):
+        first, second = choose_ledgers(f"a{number}", vms)
+        assert first.failure_domain != second.failure_domain
+        now_first, now_second = choose_ledgers(f"a{number}", rest)
+        assert now_first == first or first.name == "vm3"
+        if second.name != "vm3" and second != now_second:
+            assert first.name == "vm3"
+            assert now_first.failure_domain != first.failure_domain
+            moved += 1
+    assert moved <= 5
+    assert len({choose_ledgers(f"a{n}", vms)[1].name for n in range(200)}) == 18
+
+
+def test_ledgers_of_small_fleets():
+    vms = _vms(18)
+    same = [vm for vm in vms if vm.failure_domain == "d1"]
+    assert len({vm.name for vm in choose_ledgers("a", same)}) == 2
+    assert choose_ledgers("a", vms[:1]) == vms[:1]
+    assert choose_ledgers("a", []) == []
+    assert rank("key", ["a", "b", "c"]) == rank("key", ["c", "a", "b"])
+
+
+@pytest.mark.parametrize("name", ["vm0", "vm5"])
+def test_unknown_vms_are_not_dead(name):
+    async def work():
+        member = make_member("vm0")
+        expected = Liveness.LIVE if name == "vm0" else Liveness.UNHEARD
+        assert member.liveness(name) is expected
+        assert not member.is_dead(name)
+        assert member.heard_majority(2.0), "a fleet of one"
+        await stop(member)
+
+    run(work())
+
+
+ENVELOPE_BYTES = 80
+
+
+class VirtualFleet:
+    """Memberships in virtual time; messages need 3 ms and none is lost."""
+
+    def __init__(self, size, monkeypatch):
+        self.now = 1000.0
+        monkeypatch.setattr(membership_module, "monotonic", lambda: self.now)
+        self.asked = self.sent_bytes = 0
+        self.stopped = set()
+        self.changes = []
+        self._events = []
+        self._sequence = 0
+        self._random = random.Random(5)
+        self._receivers = {}
+        vms = [Vm(f"vm{n}", f"url{n}", f"d{n % 9}", "live") for n in range(size)]
+        self.members = [self._make(vm, vms) for vm in vms]
+
+    def advance(self, seconds):
+        end = self.now + seconds
+        while self._events[0][0] < end:
+            self.now, _, work = heapq.heappop(self._events)
+            work()
+        self.now = end
+
+    def _make(self, vm, vms):
+        rpc = VirtualRpc(vm, self)
+        member = FleetMembership(rpc, vm.failure_domain, platform=ListOnly())
+        member._random = random.Random(vm.name)
+        member.apply_list(vms)
+        member.on_change(self.changes.append)
+        self._receivers[vm.url] = rpc
+        self._at(self._random.uniform(0, 0.2), lambda: self._beat(member))
+        return member
+
+    def _beat(self, member):
+        if member._rpc.url in self.stopped:
+            return
+        member._beat()
+        self._at(
+            member._interval_s * self._random.uniform(0.9, 1.1),
+            lambda: self._beat(member),
+        )
+
+    def send(self, url, message, caller):
+        if url in self.stopped:
+            return
+        self.asked += message.answer_wanted
+        self.sent_bytes += len(encode_body(message)) + ENVELOPE_BYTES
+        self._at(0.003, lambda: self._receivers[url].receive(message, caller))
+
+    def _at(self, delay, work):
+        self._sequence += 1
+        heapq.heappush(self._events, (self.now + delay, self._sequence, work))
+
+
+class VirtualRpc:
+    incarnation = 1
+
+    def __init__(self, vm, fleet):
+        self.name, self.url, self._fleet = vm.name, vm.url, fleet
+
+    def listen(self, message_type, receive):
+        self.receive = receive
+
+    def redial(self, url):
+        pass
+
+    def notify(self, url, message):
+        caller = Caller(self.name, self.incarnation, self.url, 0.0)
+        self._fleet.send(url, message, caller)
+
+
+def test_large_fleet_asks_seldom_and_suspects_nobody(monkeypatch):
+    # Guards against bounded tables that let VMs ask each other all the time, mostly
+    # over new connections, against suspicions without any fault, and against heartbeats
+    # that use up the bytes allowed for control.
+    size, seconds = 150, 4
+    fleet = VirtualFleet(size, monkeypatch)
+    fleet.advance(6)
+    fleet.asked = fleet.sent_bytes = 0
+    fleet.changes.clear()
+    fleet.advance(seconds)
+    assert fleet.changes == []
+    assert all(len(member.live) == size for member in fleet.members)
+    assert fleet.asked / size / seconds < 3
+    assert 2 * fleet.sent_bytes / size / seconds < 10_000
+
+
+def test_dead_vms_of_a_large_fleet_are_noticed_in_time(monkeypatch):
+    # Guards against time limits that grow with the fleet, and against old counters that
+    # are passed on after the death and count as signs of life.
+    fleet = VirtualFleet(150, monkeypatch)
+    fleet.advance(8)
+    fleet.changes.clear()
+    # A whole failure domain and with it some of the watchers of other VMs.
+    gone = {m._rpc.name: m._rpc.url for m in fleet.members if m._failure_domain == "d1"}
+    fleet.stopped |= set(gone.values())
+    rest = [one for one in fleet.members if one._rpc.name not in gone]
+    fleet.advance(5)
+    assert all(len(one.live) == len(rest) for one in rest)
+    fleet.advance(5)
+    assert all(one.is_dead(name) for one in rest for name in gone)
+    assert {one.name for one in fleet.changes} == set(gone)
+
+
+@pytest.mark.parametrize("shared_id", [False, True])
+def test_processes_are_known_by_their_ids(monkeypatch, shared_id):
+    # Guards against VMs that never learn of a process because its entry came only as
+    # an id, against shared ids, and against the end of the short counter.
+    if shared_id:
+        for module in (entries_module, membership_module):
+            monkeypatch.setattr(module, "process_id", lambda *process: 1)
+    else:
+        monkeypatch.setattr(membership_module, "FULL_AFTER_NEWS_S", 0.0)
+    fleet = VirtualFleet(4, monkeypatch)
+    for member in fleet.members:
+        member._counter = membership_module.COUNTER_MASK - 8
+    fleet.advance(3)
+    assert all(len(one.live) == 4 for one in fleet.members)
+    assert all(vm.counter > 65535 for vm in fleet.members[0].live)
+    fleet.changes.clear()
+    fleet.advance(3)
+    assert fleet.changes == []
+    fleet.stopped.add("url1")
+    fleet.advance(7)
+    assert {one.name for one in fleet.changes} == {"vm1"}
+    assert all(fleet.members[number].is_dead("vm1") for number in (0, 2, 3))
+
+
+def test_vm_that_nobody_chooses_as_peer_suspects_nobody(monkeypatch):
+    # Guards against a VM that may ask only a few of many others at once and suspects
+    # the rest, although they would have told it about all.
+    fleet = VirtualFleet(40, monkeypatch)
+    fleet.advance(6)
+    fleet.changes.clear()
+    member = fleet.members[0]
+    for other in fleet.members[1:]:
+        other._choose_peers = lambda choose=other._choose_peers: [
+            url for url in choose() if url != member._rpc.url
+        ]
+    fleet.advance(3)
+    assert [one for one in fleet.changes if one.liveness is not Liveness.LIVE] == []
--- /dev/null
+++ b/tests/test_plans.py
@@ -0,0 +1,365 @@
+"""Plans and their confirmation, with racing operators and lost answers."""
+
+import asyncio
+from itertools import pairwise
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    consumes,
+    invariant,
+    rule,
+)
+from result import Err, Ok
+
+from citronwood.config import plan as plan_module
+from citronwood.config.keys import key_digest
+from citronwood.config.plan import PLAN_LIFETIME_S, Planner
+from citronwood.config.store import read_configuration
+from citronwood.deadline import deadline_in
+from citronwood.errors import (
+    ObjectNotFoundError,
+    PlatformUnavailableError,
+    VersionConflictError,
+)
+from citronwood.platform.api import Versioned
+
+
+class FakeStore:
+    """Store whose next updates may lose their answer or not arrive at all."""
+
+    def __init__(self):
+        self.objects = {}
+        self.history = []
+        self.faults = []
+        self.pause = asyncio.Event()
+        self.pause_at = None
+
+    async def reach(self, point):
+        if self.pause_at == point:
+            await self.pause.wait()
+
+    async def get(self, kind, name, deadline):
+        await self.reach(f"get {kind}")
+        if (kind, name) not in self.objects:
+            raise ObjectNotFoundError(name)
+        return self.objects[kind, name]
+
+    async def put(self, kind, name, value, expected, deadline):
+        fault = self.faults.pop(0) if self.faults and kind == "config" else None
+        await self.reach(f"put {kind}")
+        if fault == "not_sent":
+            raise PlatformUnavailableError("not sent")
+        known = self.objects.get((kind, name))
+        actual = known.version if known else 0
+        if actual != expected:
+            raise VersionConflictError(kind, name, expected, actual)
+        self.objects[kind, name] = Versioned(value, actual + 1)
+        if kind == "config":
+            self.history.append(value)
+        if fault == "answer_lost":
+            raise PlatformUnavailableError("answer lost")
+        return actual + 1
+
+
+def soon():
+    return deadline_in(5)
+
+
+LOOP = asyncio.new_event_loop()
+
+
+def run(coroutine):
+    # One loop for all steps: a new one for each step takes most of the time.
+    return LOOP.run_until_complete(coroutine)
+
+
+def member(port, domain="seattle"):
+    return {"host": "127.0.0.1", "port": port, "failure_domain": domain}
+
+
+SETUP = {
+    "kind": "batch",
+    "intents": [
+        {"kind": "set_share_slots", "count": 3},
+        {"kind": "create_account", "name": "pantry", "rate": 50, "burst": 10},
+        {"kind": "grant_key", "account": "pantry"},
+        {
+            "kind": "create_group",
+            "name": "pledges",
+            "database": "pledges",
+            "members": {f"m{n}": member(n, f"domain{n}") for n in (1, 2, 3)},
+        },
+        {"kind": "create_route", "name": "pledges", "group": "pledges"},
+    ],
+}
+
+
+async def apply(planner, intent):
+    proposal = (await planner.propose(intent, soon())).ok_value
+    assert proposal is not None, intent
+    result = await planner.confirm(proposal.plan.id, soon())
+    assert isinstance(result, Ok), result
+    return proposal
+
+
+def prepared(**options):
+    store = FakeStore()
+    planner = Planner(store, **options)
+    run(apply(planner, SETUP))
+    return store, planner
+
+
+def findings_of(planner, intent):
+    result = run(planner.propose(intent, soon()))
+    assert isinstance(result, Err), result
+    return {finding.place: finding.message for finding in result.err_value}
+
+
+def test_secret_is_returned_once_and_only_its_digest_is_stored():
+    store = FakeStore()
+    proposal = run(apply(Planner(store), SETUP))
+    (secret,) = proposal.secrets.values()
+    assert len(secret) == 40
+    assert secret not in str(store.objects)
+    config = run(read_configuration(store, soon()))
+    assert config.accounts["pantry"].keys == {"k1": key_digest(secret)}
+
+
+def test_all_findings_are_reported_with_their_place():
+    _, planner = prepared()
+    batch = [
+        {"kind": "set_rate", "account": "nobody", "rate": -1, "burst": 5},
+        {"kind": "create_route", "name": "pledges", "group": "nowhere"},
+        {"kind": "no_such_kind"},
+        {"kind": ["list"]},
+        {"kind": "withdraw_key", "account": "pantry", "key_id": "k7"},
+    ]
+    found = findings_of(planner, {"kind": "batch", "intents": batch})
+    assert set(found) == {
+        "intents.0.rate",
+        "intents.0.account",
+        "intents.1.name",
+        "intents.1.group",
+        "intents.2.",
+        "intents.3.",
+        "intents.4.key_id",
+    }
+    for malformed in (None, [], "x", {"kind": "batch"}):
+        assert findings_of(planner, malformed)
+
+
+@pytest.mark.parametrize(
+    ("intent", "place"),
+    [
+        ({"kind": "remove_group", "group": "pledges"}, "routes.pledges.group"),
+        (
+            {"kind": "change_group", "group": "pledges", "max_connections": 20},
+            "groups.pledges.max_connections",
+        ),
+        (
+            {"kind": "add_member", "group": "pledges", "member": "m4", **member(1)},
+            "groups.pledges.members.m4",
+        ),
+        ({"kind": "set_share_slots", "count": 5}, "count"),
+        ({"kind": "change_primary", "group": "pledges", "member": "m2"}, "group"),
+        ({"kind": "set_rate", "account": "pantry", "rate": 50, "burst": 10}, ""),
+    ],
+)
+def test_intent_that_breaks_a_rule_is_refused(intent, place):
+    _, planner = prepared()
+    assert list(findings_of(planner, intent)) == [place]
+
+
+def test_two_members_cannot_change_in_one_plan():
+    # Guards against majorities that share no member, which could lose a write.
+    _, planner = prepared()
+    intents = [
+        {"kind": "add_member", "group": "pledges", "member": f"m{n}", **member(n)}
+        for n in (4, 5)
+    ]
+    found = findings_of(planner, {"kind": "batch", "intents": intents})
+    assert list(found) == ["groups.pledges.members"]
+    replace = [intents[0], {"kind": "remove_member", "group": "pledges"}]
+    replace[1]["member"] = "m1"
+    found = findings_of(planner, {"kind": "batch", "intents": replace})
+    assert list(found) == ["groups.pledges.members"]
+
+
+def test_members_change_only_when_every_vm_follows():
+    # Guards against a VM that counts majorities of a set of members two plans old.
+    behind = []
+    _, planner = prepared(behind=lambda version: behind)
+    behind.append("vm7")
+    run(apply(planner, rate(7)))
+    intent = {"kind": "add_member", "group": "pledges", "member": "m4", **member(4)}
+    plan = run(planner.propose(intent, soon())).ok_value.plan
+    rejection = run(planner.confirm(plan.id, soon())).err_value
+    assert rejection.reason == "behind"
+    assert "vm7" in rejection.message
+    behind.clear()
+    assert isinstance(run(planner.confirm(plan.id, soon())), Ok)
+
+
+def test_change_of_primary_is_bound_to_the_term():
+    store, planner = prepared(terms=lambda: {"pledges": 7})
+    intent = {"kind": "change_primary", "group": "pledges", "member": "m2"}
+    run(apply(planner, intent))
+    change = run(read_configuration(store, soon())).groups["pledges"].primary_change
+    assert (change.member, change.term) == ("m2", 7)
+
+
+def test_warnings_name_what_the_change_weakens():
+    _, planner = prepared()
+    batch = [
+        {"kind": "withdraw_key", "account": "pantry", "key_id": "k1"},
+        {"kind": "change_route", "route": "pledges", "open_to_all": True},
+        {"kind": "remove_member", "group": "pledges", "member": "m1"},
+    ]
+    result = run(planner.propose({"kind": "batch", "intents": batch}, soon()))
+    warnings = " ".join(result.ok_value.plan.warnings)
+    for part in ("no key left", "without a key", "2 members", "not marked as leaving"):
+        assert part in warnings
+
+
+def test_refusal_reports_what_moved():
+    _, planner = prepared()
+    late = run(planner.propose(rate(5), soon())).ok_value.plan
+    other = run(apply(planner, rate(6))).plan
+    rejection = run(planner.confirm(late.id, soon())).err_value
+    assert (rejection.reason, rejection.plans) == ("moved", (other.id,))
+    assert rejection.moved == (("accounts.pantry.rate", 50.0, 6.0),)
+
+
+def test_old_plans_make_room(monkeypatch):
+    # Guards against a store that fills with plans nobody confirms.
+    now = [1000.0]
+    store, planner = prepared(clock=lambda: now[0])
+    monkeypatch.setattr(plan_module, "PLAN_SLOTS", 4)
+    monkeypatch.setattr(plan_module, "SLOT_ATTEMPTS", 4)
+    for _ in range(5):
+        # Also for the plan of the preparation, which may be in one of the four places.
+        now[0] += PLAN_LIFETIME_S + plan_module.CLOCK_TOLERANCE_S + 1
+        for number in range(4):
+            run(planner.propose(rate(number + 1), soon()))
+    assert len([kind for kind, _ in store.objects if kind == "plan"]) <= 5
+
+
+def rate(value):
+    return {"kind": "set_rate", "account": "pantry", "rate": value, "burst": 10}
+
+
+class PlanMachine(RuleBasedStateMachine):
+    """Operators on several VMs race; exactly the confirmed plans are applied."""
+
+    plans = Bundle("plans")
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.store, self.planner = prepared(clock=lambda: self.now)
+        self.confirmed = set()
+        self.refused = set()
+        self.tried = set()
+        self.versions = [1]
+
+    @rule(target=plans, value=st.integers(1, 1000))
+    def propose(self, value):
+        result = run(self.planner.propose(rate(value), soon()))
+        if isinstance(result, Err):
+            assert result.err_value[0].message == "the intent changes nothing"
+            return None
+        return result.ok_value.plan
+
+    @rule(
+        plans=st.lists(plans, min_size=1, max_size=3),
+        faults=st.lists(st.sampled_from(["answer_lost", "not_sent", None])),
+        pause_at=st.sampled_from(["get plan", "put config"]),
+    )
+    def confirm_together(self, plans, faults, pause_at):
+        plans = [plan for plan in plans if plan is not None]
+        self.store.faults = list(faults)
+
+        async def race():
+            self.store.pause = asyncio.Event()
+            self.store.pause_at = pause_at
+            tasks = [
+                asyncio.create_task(self.planner.confirm(plan.id, soon()))
+                for plan in plans
+            ]
+            for _ in range(5):
+                await asyncio.sleep(0)
+            self.store.pause.set()
+            return await asyncio.gather(*tasks, return_exceptions=True)
+
+        for plan, result in zip(plans, run(race()), strict=True):
+            self.tried.add(plan.id)
+            self.record(plan, result)
+        self.store.faults = []
+        self.store.pause_at = None
+
+    def record(self, plan, result):
+        if isinstance(result, Ok):
+            self.confirmed.add(plan.id)
+        elif isinstance(result, Err):
+            reason = result.err_value.reason
+            # An expired plan may have made room for another one.
+            assert reason == "moved" or self.expired(plan)
+            assert reason in ("moved", "expired", "unknown")
+            self.refused.add(plan.id)
+        else:
+            assert isinstance(result, PlatformUnavailableError), result
+
+    def expired(self, plan):
+        return self.now >= plan.expires_at
+
+    @rule(plan=consumes(plans))
+    def repeat_until_answered(self, plan):
+        if plan is None:
+            return
+        applied = plan.id in self.applied()
+        base_holds = self.version() == plan.base_version
+        result = run(self.planner.confirm(plan.id, soon()))
+        self.tried.add(plan.id)
+        self.record(plan, result)
+        accepted = applied or (base_holds and not self.expired(plan))
+        assert isinstance(result, Ok) == accepted
+        if accepted:
+            assert result.ok_value.repeated == applied
+
+    @rule(seconds=st.sampled_from([1.0, PLAN_LIFETIME_S / 2]))
+    def pass_time(self, seconds):
+        self.now += seconds
+
+    def applied(self):
+        return self.store.objects["config", "current"].value["applied_plans"]
+
+    def version(self):
+        return self.store.objects["config", "current"].version
+
+    @invariant()
+    def applied_plans_are_those_that_were_confirmed(self):
+        applied = self.applied()
+        assert len(applied) == len(set(applied))
+        assert self.confirmed <= set(applied)
+        assert not self.refused & set(applied)
+        assert set(applied[1:]) <= self.tried
+
+    @invariant()
+    def versions_rise_and_each_applies_one_plan(self):
+        version = self.version()
+        assert version >= self.versions[-1]
+        self.versions.append(version)
+        ids = [document["applied_plans"] for document in self.store.history]
+        assert len(ids) == version
+        for earlier, later in pairwise(ids):
+            assert later[:-1] == earlier
+
+
+TestPlanMachine = PlanMachine.TestCase
+TestPlanMachine.settings = settings(
+    max_examples=30, stateful_step_count=15, deadline=None
+)
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,222 @@
+"""Choice of a gateway, repetition, and sessions, with executors that the test sets."""
+
+import asyncio
+
+import pytest
+from result import Err, Ok
+
+from citronwood.backend.api import Reply, Request, StatementKind
+from citronwood.deadline import deadline_in
+from citronwood.errors import ErrorCode, Outcome, Refusal
+from citronwood.fleet.placement import choose_gateways
+from citronwood.fleet.routing import GroupRouter
+from citronwood.inner.messages import VmState
+
+NOT_RUN = Refusal(ErrorCode.NOT_RUN, "not run")
+UNKNOWN = Refusal(ErrorCode.OUTCOME_UNKNOWN, "unknown", Outcome.UNKNOWN)
+LOST = UNKNOWN._replace(transaction_lost=True)
+
+
+class Vms:
+    """Membership of three VMs; this one is no gateway of group g."""
+
+    def __init__(self):
+        vms = [VmState(f"vm{i}", 1, 1, f"url{i}", f"d{i}", "live", 1) for i in range(3)]
+        self.gateways = choose_gateways("g", vms)
+        self.own = next(vm for vm in vms if vm not in self.gateways)
+        self.live = tuple(vms)
+        self.dead = set()
+
+    def is_dead(self, name):
+        return name in self.dead
+
+
+class Answers:
+    """Executor that gives its answers in turn, the last one for ever."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.requests, self.ended = [], []
+
+    async def execute(self, request):
+        self.requests.append(request)
+        answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+        if answer is None:
+            await asyncio.sleep(30)
+        return Err(answer) if isinstance(answer, Refusal) else Ok(answer)
+
+    async def end_session(self, session_id):
+        self.ended.append(session_id)
+
+
+def reply(in_transaction=False):
+    return Reply((), None, 1, 0, None, in_transaction, "m1", False)
+
+
+def request(kind, key=None, in_transaction=False, seconds=2.0):
+    return Request(
+        "s", "a", "r", "g", "x", kind, None, None, key, in_transaction,
+        deadline_in(seconds),
+    )  # fmt: skip
+
+
+def make_router(first, second):
+    vms = Vms()
+    executors = {vms.gateways[0].name: first, vms.gateways[1].name: second}
+    router = GroupRouter(vms, Answers(NOT_RUN), lambda vm: executors[vm.name])
+    return router, vms
+
+
+@pytest.mark.parametrize(
+    ("kind", "key", "refusal", "repeated"),
+    [
+        (StatementKind.WRITE, None, NOT_RUN, True),
+        (StatementKind.WRITE, None, UNKNOWN, False),
+        (StatementKind.WRITE, "k", UNKNOWN, True),
+        (StatementKind.READ, None, UNKNOWN, True),
+        (StatementKind.BEGIN, "k", UNKNOWN, False),
+    ],
+)
+def test_only_what_may_be_repeated_goes_to_the_next_gateway(
+    kind, key, refusal, repeated
+):
+    # Guards against a second execution of a write without an idempotency key.
+    second = Answers(reply())
+    router, _ = make_router(Answers(refusal), second)
+    outcome = asyncio.run(router.execute(request(kind, key)))
+    assert isinstance(outcome, Ok) is repeated
+    assert len(second.requests) == int(repeated)
+
+
+def test_statement_on_a_gateway_that_dies_is_unknown_at_once():
+    # Guards against a caller that waits for its whole deadline.
+    router, vms = make_router(Answers(None), Answers(reply()))
+
+    async def scenario():
+        running = asyncio.create_task(router.execute(request(StatementKind.WRITE)))
+        await asyncio.sleep(0.1)
+        vms.live = tuple(vm for vm in vms.live if vm != vms.gateways[0])
+        vms.dead.add(vms.gateways[0].name)
+        async with asyncio.timeout(1):
+            return await running
+
+    refusal = asyncio.run(scenario()).err_value
+    assert refusal.outcome is Outcome.UNKNOWN
+
+
+def test_every_statement_is_watched_while_its_gateway_is_live():
+    # Guards against statements that the shared timer does not check, because it ended
+    # with an earlier statement, and against one that ends those of other gateways.
+    class Waiting(Answers):
+        async def execute(self, request):
+            self.requests.append(request)
+            await asyncio.sleep(0.5)
+            return Ok(reply())
+
+    first, second = Answers(reply()), Waiting()
+    router, vms = make_router(first, second)
+
+    async def scenario():
+        await router.execute(request(StatementKind.WRITE))
+        await asyncio.sleep(0.3)
+        first.answers = [None]
+        dying = asyncio.create_task(router.execute(request(StatementKind.WRITE)))
+        await asyncio.sleep(0)
+        other = vms.gateways[1], second
+        living = asyncio.create_task(
+            router._attempt(request(StatementKind.WRITE), *other)
+        )
+        await asyncio.sleep(0.05)
+        vms.live = tuple(vm for vm in vms.live if vm != vms.gateways[0])
+        vms.dead.add(vms.gateways[0].name)
+        async with asyncio.timeout(0.3):
+            refusal = (await dying).err_value
+        return refusal, await living
+
+    refusal, outcome = asyncio.run(scenario())
+    assert refusal.outcome is Outcome.UNKNOWN
+    assert isinstance(outcome, Ok)
+
+
+def test_caller_that_leaves_ends_its_statement():
+    # Guards against a forwarded statement that goes on without its caller, and against
+    # a cancellation that is taken for the end of the gateway.
+    ended = []
+
+    class Endless(Answers):
+        async def execute(self, request):
+            try:
+                await asyncio.sleep(30)
+            finally:
+                ended.append(request)
+
+    router, _ = make_router(Endless(), Endless())
+
+    async def scenario():
+        running = asyncio.create_task(router.execute(request(StatementKind.WRITE)))
+        await asyncio.sleep(0.05)
+        running.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await running
+
+    asyncio.run(scenario())
+    assert len(ended) == 1
+
+
+@pytest.mark.parametrize("answer", [reply(in_transaction=True), LOST])
+def test_gateway_is_told_the_end_of_a_session_that_it_may_hold(answer):
+    # Guards against a transaction that stays open after a BEGIN without an answer.
+    first = Answers(answer)
+    router, _ = make_router(first, Answers(reply()))
+
+    async def scenario():
+        await router.execute(request(StatementKind.BEGIN))
+        await router.end_session("s")
+
+    asyncio.run(scenario())
+    assert first.ended == ["s"]
+
+
+def test_transaction_stays_with_its_gateway():
+    # Guards against statements of a transaction that run outside of it.
+    first, second = Answers(reply(in_transaction=True)), Answers(reply())
+    router, vms = make_router(first, second)
+
+    async def scenario():
+        await router.execute(request(StatementKind.BEGIN))
+        vms.live = tuple(vm for vm in vms.live if vm != vms.gateways[0])
+        vms.live += (vms.gateways[0],)
+        await router.execute(request(StatementKind.WRITE, in_transaction=True))
+        lost = request(StatementKind.WRITE, in_transaction=True)
+        return await router.execute(lost._replace(session_id="other"))
+
+    outcome = asyncio.run(scenario())
+    assert len(first.requests) == 2
+    assert not second.requests
+    assert outcome.err_value.transaction_lost
+
+
+@pytest.mark.parametrize("answer", [NOT_RUN, None])
+def test_statement_that_waits_stops_with_its_key(answer):
+    # Guards against a statement that waits for a gateway, or for a connection to it,
+    # and runs seconds after the key was withdrawn.
+    first = Answers(answer)
+    router, _ = make_router(first, Answers(answer))
+    withdrawn = []
+
+    async def scenario():
+        waiting = request(StatementKind.WRITE, seconds=5.0)._replace(
+            check=lambda: withdrawn[0] if withdrawn else None
+        )
+        running = asyncio.create_task(router.execute(waiting))
+        await asyncio.sleep(0.2)
+        withdrawn.append(Refusal(ErrorCode.KEY_WITHDRAWN, "withdrawn"))
+        async with asyncio.timeout(1):
+            refusal = (await running).err_value
+        sent = len(first.requests)
+        await asyncio.sleep(0.3)
+        assert len(first.requests) == sent
+        return refusal
+
+    refusal = asyncio.run(scenario())
+    assert refusal.code == (9004 if answer else 9002)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,113 @@
+"""Settings from flags and variables, and log output."""
+
+import io
+import json
+import logging
+import os
+
+import pytest
+
+from citronwood.errors import SettingsError
+from citronwood.logs import configure_logs
+from citronwood.settings import describe_settings, load_settings
+
+REQUIRED = {
+    "vm_name": "vm1",
+    "failure_domain": "seattle",
+    "platform_url": "http://127.0.0.1:8500",
+    "backend_password": "backend-secret",
+    "fleet_secret": "f" * 32,
+    "operator_token": "t" * 16,
+}
+
+
+@pytest.fixture(autouse=True)
+def clean_environment(monkeypatch):
+    for name in list(os.environ):
+        if name.startswith("CITRONWOOD_"):
+            monkeypatch.delenv(name)
+
+
+def findings(flags):
+    with pytest.raises(SettingsError) as caught:
+        load_settings(flags)
+    return caught.value.findings
+
+
+def test_flag_wins_over_variable_and_each_source_is_known(monkeypatch):
+    monkeypatch.setenv("CITRONWOOD_LISTEN_PORT", "4000")
+    monkeypatch.setenv("CITRONWOOD_DRAIN_S", "5")
+    loaded = load_settings(REQUIRED | {"listen_port": "4001", "inner_port": None})
+    assert loaded.settings.listen_port == 4001
+    assert loaded.settings.drain_s == 5
+    assert loaded.sources["listen_port"] == "flag --listen-port"
+    assert loaded.sources["drain_s"] == "variable CITRONWOOD_DRAIN_S"
+    assert loaded.sources["inner_port"] == "default"
+
+
+def test_all_findings_are_reported_together(monkeypatch, tmp_path):
+    monkeypatch.setenv("CITRONWOOD_LISTEN_PRT", "4000")
+    monkeypatch.setenv("CITRONWOOD_LOG_LEVEL", "loud")
+    flags = REQUIRED | {
+        "vm_name": None,
+        "listen_port": "70000",
+        "inner_host": "example",
+        "operator_port": "7300",
+        "fleet_secret": "short-secret",
+        "tls_key": str(tmp_path / "missing.pem"),
+    }
+    found = "\n".join(findings(flags))
+    for part in (
+        "CITRONWOOD_LISTEN_PRT: there is no such setting",
+        "--log-level (CITRONWOOD_LOG_LEVEL):",
+        "--vm-name (CITRONWOOD_VM_NAME): is required",
+        "--listen-port (CITRONWOOD_LISTEN_PORT):",
+        "--inner-host (CITRONWOOD_INNER_HOST): must be an IP address",
+        "--operator-port (CITRONWOOD_OPERATOR_PORT): is the same as --inner-port",
+        "--fleet-secret (CITRONWOOD_FLEET_SECRET): must have at least 32",
+        "--tls-certificate (CITRONWOOD_TLS_CERTIFICATE): is required with",
+        "--tls-key (CITRONWOOD_TLS_KEY): there is no such file",
+    ):
+        assert part in found
+    assert "short-secret" not in found
+
+
+def test_secrets_are_masked():
+    shown = str(describe_settings(load_settings(REQUIRED)))
+    assert "vm1" in shown
+    for name in ("backend_password", "fleet_secret", "operator_token"):
+        assert REQUIRED[name] not in shown
+
+
+@pytest.fixture
+def root_logger():
+    root = logging.getLogger()
+    handlers, level = root.handlers[:], root.level
+    yield root
+    root.handlers[:] = handlers
+    root.setLevel(level)
+
+
+def test_log_lines_have_the_prefix_of_their_part(root_logger):
+    stream = io.StringIO()
+    configure_logs("plain", "info", stream)
+    logging.getLogger("citronwood.config.plan").info("plan %s applied", "p1\nx")
+    logging.getLogger("citronwood.backend.group").debug("hidden")
+    logging.getLogger("citronwood.backend.group").info("group: primary is m1")
+    first, second = stream.getvalue().splitlines()
+    # Guards against values that forge a log line.
+    assert first.endswith("INFO config: plan p1\\nx applied")
+    assert second.endswith("INFO group: primary is m1")
+
+
+def test_json_lines_are_objects(root_logger):
+    stream = io.StringIO()
+    configure_logs("json", "info", stream)
+    try:
+        raise ValueError("bad")
+    except ValueError:
+        logging.getLogger("citronwood.limits").exception("failed")
+    (line,) = stream.getvalue().splitlines()
+    fields = json.loads(line)
+    assert (fields["component"], fields["level"]) == ("limits", "error")
+    assert "ValueError: bad" in fields["traceback"]
