Show the demonstration with every part as a process of its own

Cause: make demo ran both VMs, the members and the platform's stand-in on one event loop, so it could not show parts that fail or stall on their own.

Change: make demo starts the real programs: stand-ins, two entries, the operator's commands. A caller (PyMySQL) writes through one VM and reads through the other, the primary's process is stopped and continued, a write is repeated at the other VM with its idempotency key, a key is withdrawn, the VMs stop.

The test was seen failing while the demo repeated a write without setting the key again (row stored twice).

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	touch $@
 
 demo: install
-	$(BIN)/python -m citronwood demo
+	$(BIN)/python -m benchmarks.demo
 
 # The fleet of 18 VMs in one process runs in real time; it gets a process of its own,
 # because the objects that other tests leave behind lengthen the collector's pauses.
