Test that an entry with invalid settings reports all findings and starts nothing

Cause: the findings were tested in the library and in check-settings, not in the program that runs on a VM.

Change: a test starts the real entry with four invalid or missing settings, and a listening socket in the place of the platform that must see no connection.

Measured: exit code 2, all findings printed; tests/test_settings.py passes. It guards what held before, so it was not seen failing.

Conclusion: no change of the code was needed.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,6 +4,9 @@
 import json
 import logging
 import os
+import socket
+import subprocess
+import sys
 
 import pytest
 
@@ -72,6 +75,24 @@
     assert "short-secret" not in found
 
 
+def test_entry_with_invalid_settings_starts_nothing():
+    """Guards against a process that stops at the first finding, or serves anyway."""
+    with socket.create_server(("127.0.0.1", 0)) as platform:
+        port = platform.getsockname()[1]
+        url = f"http://127.0.0.1:{port}"
+        flags = ["--vm-name", "vm1", "--platform-url", url, "--listen-port", "70000"]
+        command = [sys.executable, "-m", "citronwood", "entry", *flags]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=30)
+        platform.setblocking(False)
+        with pytest.raises(BlockingIOError):
+            platform.accept()
+    assert done.returncode == 2
+    found = done.stdout + done.stderr
+    for name in ("listen-port", "failure-domain", "backend-password", "fleet-secret"):
+        assert f"--{name} (CITRONWOOD_" in found
+    assert "Traceback" not in found
+
+
 def test_secrets_are_masked():
     shown = str(describe_settings(load_settings(REQUIRED)))
     assert "vm1" in shown
