Let replicas with the same load take turns

Cause: reads go to the replica with the smallest backlog and the fewest requests; equal loads were decided by which member was heard first, so callers with one read at a time all used one replica.

Change: of replicas with the same load, the one that was chosen longest ago serves.

Measured: the new test fails before and passes after.

--- a/citronwood/backend/reads.py
+++ b/citronwood/backend/reads.py
@@ -1,6 +1,7 @@
 """Choice of a member for a read."""
 
 import asyncio
+from itertools import count
 from time import monotonic
 from typing import NamedTuple
 
@@ -112,6 +113,8 @@
     def __init__(self, view: GroupView, pools: dict[str, Pool]) -> None:
         self._view = view
         self._pools = pools
+        self._turns = count(1)
+        self._last_turn: dict[str, int] = {}
 
     async def choose(
         self, need: ReadNeed, deadline: float, excluded: frozenset[str]
@@ -132,6 +135,8 @@
             found = await self._view.wait_for(find_replica, short)
         if found is None:
             found = await self._view.wait_for(find_any, deadline)
+        if found is not None:
+            self._last_turn[found.member] = next(self._turns)
         return found
 
     def serves(self, status: MemberStatus, need: ReadNeed) -> bool:
@@ -169,7 +174,7 @@
     def _find_replica(
         self, need: ReadNeed, excluded: frozenset[str]
     ) -> MemberStatus | None:
-        best, best_load = None, (0.0, 0)
+        best, best_load = None, (0.0, 0, 0)
         for status in self._view.statuses:
             if status.role == PRIMARY or not self._usable(status, excluded):
                 continue
@@ -180,11 +185,15 @@
                 best, best_load = status, load
         return best
 
-    def _load(self, status: MemberStatus, account: str) -> tuple[float, int]:
+    def _load(self, status: MemberStatus, account: str) -> tuple[float, int, int]:
+        """Return what is compared: backlog of the account, requests, last turn."""
         # By requests alone, an account would follow the queue of another one that
         # floods, and meet its own requests at one member while another has none.
         pool = self._pools[status.member]
-        return pool.backlog(account), pool.in_use + pool.waiting
+        # Callers with one read at a time leave no load behind, so that without turns
+        # all of them would use the replica that was heard first.
+        turn = self._last_turn.get(status.member, 0)
+        return pool.backlog(account), pool.in_use + pool.waiting, turn
 
     def _find_primary(
         self, need: ReadNeed, excluded: frozenset[str]
--- a/tests/test_group_reads.py
+++ b/tests/test_group_reads.py
@@ -7,6 +7,7 @@
 
 from citronwood.backend.api import Position, Reply
 from citronwood.backend.group import GroupView
+from citronwood.backend.pool import Pool
 from citronwood.backend.queue import FairQueue
 from citronwood.backend.reads import ReadNeed, ReadRouter, may_serve
 from citronwood.deadline import deadline_in
@@ -99,6 +100,25 @@
     asyncio.run(scenario())
 
 
+def test_replicas_with_the_same_load_take_turns():
+    """Guards against callers with one read at a time that all use one replica."""
+
+    async def scenario():
+        view = GroupView(GROUP)
+        for member in ("m3", "m2"):
+            view.publish(make_status(member=member))
+        pools = {member: Pool(None, 4, lambda _: 1.0) for member in ("m2", "m3")}
+        router = ReadRouter(view, pools)
+        need = ReadNeed(Position(2, 1), None, "a")
+        for _ in range(10):
+            pair = [
+                await router.choose(need, deadline_in(1), frozenset()) for _ in range(2)
+            ]
+            assert {status.member for status in pair} == {"m2", "m3"}
+
+    asyncio.run(scenario())
+
+
 def test_session_reads_its_writes_mostly_from_replicas(start_cluster):
     """Guards against stale reads under lag, and against reading from the primary."""
     cluster = start_cluster("--apply-lag-ms", 50)
