Report a transaction lost at a gateway that has given up its role

A VM that stops retires its gateways and forgets their sessions before it leaves the inner network. A statement that arrives in between found no gateway and was refused as one that another gateway may run; its transaction was gone, so each repetition was refused as well. The same answer was given by a stopped gateway, and by a VM that had ended the sessions of another VM.

Change: in these three places a statement of a transaction is refused with 9005 and the transaction is marked as lost. A single statement is still refused with 9001.

Before: 4 of the 6 tests of tests/test_gateway_retired.py fail, and the new lines of test_sessions_of_a_dead_vm_end_and_stay_ended. After: all pass.

Conclusion: the race of the fleet test itself was not reproduced; its code 9001 with rows (0, 0) is what the first of the three places gives.

--- a/citronwood/backend/answers.py
+++ b/citronwood/backend/answers.py
@@ -22,6 +22,16 @@
     return Refusal(ErrorCode.NOT_RUN, f"Not run: {reason}; safe to repeat")
 
 
+def refuse_retired(request: Request, reason: str) -> Refusal:
+    """Return the refusal of a statement at a gateway that has given up its role.
+
+    Its open transactions ended with it, so their statements cannot be repeated.
+    """
+    if request.in_transaction:
+        return refuse_lost_transaction(reason)
+    return refuse_not_run(reason)
+
+
 def refuse_withdrawn() -> Refusal:
     """Return the refusal of a statement whose key is no longer in force."""
     return Refusal(
--- a/citronwood/backend/gateway.py
+++ b/citronwood/backend/gateway.py
@@ -12,6 +12,7 @@
     make_reply,
     refuse_failed,
     refuse_not_run,
+    refuse_retired,
 )
 from citronwood.backend.api import Position, Reply, Request, StatementKind
 from citronwood.backend.connection import Answer, BackendConnection
@@ -158,7 +159,7 @@
     async def execute(self, request: Request) -> Result[Reply, Refusal]:
         """Run one statement."""
         if not self._running and not self._transactions.has(request.session_id):
-            return Err(refuse_not_run("this VM no longer serves the group"))
+            return Err(refuse_retired(request, "this VM no longer serves the group"))
         started = monotonic()
         self._active += 1
         try:
--- a/citronwood/backend/service.py
+++ b/citronwood/backend/service.py
@@ -9,6 +9,7 @@
 
 from result import Err
 
+from citronwood.backend.answers import refuse_lost_transaction
 from citronwood.backend.api import (
     Executor,
     Position,
@@ -155,7 +156,7 @@
         self, message: ExecuteStatement, caller: Caller
     ) -> StatementReply:
         if message.session_id in self._ended:
-            return _not_run("the session has ended")
+            return _session_ended(message)
         if message.kind not in _KINDS:
             return _not_run(f"unknown class of statement {message.kind[:20]!r}")
         owner = _Owner(caller.name, caller.incarnation)
@@ -311,6 +312,14 @@
     )
 
 
+def _session_ended(message: ExecuteStatement) -> StatementReply:
+    """Refuse a statement of a session whose transaction was rolled back here."""
+    reason = "the session has ended"
+    if message.in_transaction:
+        return _error_reply(_error_tuple(refuse_lost_transaction(reason)))
+    return _not_run(reason)
+
+
 def _not_run(reason: str) -> StatementReply:
     refusal = Refusal(ErrorCode.NOT_RUN, f"Not run: {reason}")
     return _error_reply(_error_tuple(refusal))
--- a/citronwood/fleet/gateways.py
+++ b/citronwood/fleet/gateways.py
@@ -6,6 +6,7 @@
 
 from result import Err, Result
 
+from citronwood.backend.answers import refuse_retired
 from citronwood.backend.api import Reply, Request
 from citronwood.backend.connection import Login
 from citronwood.backend.gateway import Gateway, open_gateway
@@ -13,7 +14,7 @@
 from citronwood.config.api import ConfigSource
 from citronwood.config.model import Group
 from citronwood.deadline import deadline_in, has_passed
-from citronwood.errors import ErrorCode, Refusal
+from citronwood.errors import Refusal
 from citronwood.fleet.api import Membership
 from citronwood.fleet.placement import GatewayChoice
 from citronwood.inner.messages import VmState
@@ -84,8 +85,8 @@
         if gateway is None or not request.in_transaction:
             gateway = self._gateways.get(request.group)
         if gateway is None:
-            message = f"Not run: this VM is no gateway of group {request.group}"
-            return Err(Refusal(ErrorCode.NOT_RUN, message))
+            reason = f"this VM is no gateway of group {request.group}"
+            return Err(refuse_retired(request, reason))
         outcome = await gateway.execute(request)
         self._track(request, gateway, outcome)
         return outcome
--- /dev/null
+++ b/tests/test_gateway_retired.py
@@ -0,0 +1,58 @@
+"""Statements that reach a VM after it has given up the gateway role of their group."""
+
+import asyncio
+
+import pytest
+
+from citronwood.backend.api import Request, StatementKind
+from citronwood.backend.connection import Login
+from citronwood.backend.gateway import open_gateway
+from citronwood.backend.host import Host
+from citronwood.config.model import Group, Member
+from citronwood.deadline import deadline_in
+from citronwood.errors import ErrorCode
+from citronwood.fleet.gateways import GatewayHost
+from citronwood.metrics import Metrics
+from citronwood.operator.records import Records
+
+
+class Alone:
+    """Membership that knows no VM."""
+
+    live = ()
+
+
+def retired_host():
+    return GatewayHost(Alone(), None, None, None, None)
+
+
+def stopped_gateway():
+    members = {"m1": Member(host="127.0.0.1", port=1, failure_domain="d1")}
+    host = Host("vm1", Login("proxy", "proxy"), lambda: 0, Records(), Metrics())
+    return open_gateway("g", Group(database="demo", members=members), host)
+
+
+def refusal(executor, kind, in_transaction):
+    request = Request(
+        session_id="s", account="a", route="r", group="g", sql="x", kind=kind,
+        floor=None, max_age_ms=None, idempotency_key=None,
+        in_transaction=in_transaction, deadline=deadline_in(2.0),
+    )  # fmt: skip
+    return asyncio.run(executor.execute(request)).err_value
+
+
+@pytest.mark.parametrize("make", [retired_host, stopped_gateway])
+@pytest.mark.parametrize("kind", [StatementKind.WRITE, StatementKind.COMMIT])
+def test_statement_of_a_transaction_is_not_to_be_repeated(make, kind):
+    """Guards against a caller that repeats a COMMIT which can never succeed."""
+    found = refusal(make(), kind, in_transaction=True)
+    assert found.code == ErrorCode.TRANSACTION_FAILED
+    assert found.transaction_lost
+
+
+@pytest.mark.parametrize("make", [retired_host, stopped_gateway])
+def test_single_statement_goes_to_another_gateway(make):
+    """Guards against a failure where the router may try the next gateway."""
+    found = refusal(make(), StatementKind.WRITE, in_transaction=False)
+    assert found.code == ErrorCode.NOT_RUN
+    assert not found.transaction_lost
--- a/tests/test_inner_remote.py
+++ b/tests/test_inner_remote.py
@@ -199,5 +199,9 @@
         assert service.stored_results == 0
         refusal = (await executor.execute(request("x", session_id="s1"))).err_value
         assert (refusal.code, refusal.outcome) == (9001, Outcome.NOT_RUN)
+        # Guards against a caller that repeats a statement of a transaction for ever.
+        late = request("x", session_id="s1", in_transaction=True)
+        refusal = (await executor.execute(late)).err_value
+        assert (refusal.code, refusal.transaction_lost) == (9005, True)
 
     with_service(work)
