Refuse at once what cannot get a connection in time

Cause: in a lasting overload each statement waited for its whole deadline before it was refused. A write also left the queue for connections every 0.5 s, to see whether the primary had changed, and came back as the last; a read left it at half of its time.

Change: a statement keeps its place until its deadline; whether it still wants the place is asked during the wait. A forecast (backend/forecast.py) takes the rate of the last grants and the requests that go first, by the account's share; if the turn would come after the deadline the statement is refused on arrival with 9011. The entry asks the other gateway of the group once, then passes the refusal on.

--- a/citronwood/backend/answers.py
+++ b/citronwood/backend/answers.py
@@ -4,7 +4,7 @@
 
 from citronwood.backend.api import Position, Reply, Request, StatementKind
 from citronwood.backend.connection import Answer
-from citronwood.errors import ErrorCode, Outcome, Refusal
+from citronwood.errors import ErrorCode, Outcome, OverloadedError, Refusal
 
 # With these a member refuses a statement before it runs it.
 REFUSED_CODES = frozenset(
@@ -40,9 +40,25 @@
     )
 
 
-def refuse_without_connection(request: Request) -> Refusal:
+def refuse_without_connection(
+    request: Request, error: TimeoutError | None = None
+) -> Refusal:
     """Return the refusal of a statement that got no connection to the primary."""
-    return request.refusal() or refuse_not_run("no primary or connection in time")
+    refusal = request.refusal()
+    if refusal is not None:
+        return refusal
+    if isinstance(error, OverloadedError):
+        return refuse_overloaded()
+    return refuse_not_run("no primary or connection in time")
+
+
+def refuse_overloaded() -> Refusal:
+    """Return the refusal of a statement that could not run before its deadline."""
+    return Refusal(
+        ErrorCode.OVERLOADED,
+        "Not run: more statements wait for the database than it can run in time;"
+        " repeat later",
+    )
 
 
 def refuse_unknown() -> Refusal:
--- a/citronwood/backend/gateway.py
+++ b/citronwood/backend/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from functools import partial
 from time import monotonic
 
 from asyncmy.errors import MySQLError
@@ -12,6 +13,7 @@
     make_reply,
     refuse_failed,
     refuse_not_run,
+    refuse_overloaded,
     refuse_retired,
 )
 from citronwood.backend.api import Position, Reply, Request, StatementKind
@@ -33,6 +35,7 @@
     BackendUnavailableError,
     ConnectionLostError,
     ErrorCode,
+    OverloadedError,
     Refusal,
 )
 
@@ -250,9 +253,16 @@
     ) -> Result[Reply, Refusal] | None:
         """Read from one member; None when another one must be tried."""
         pool = self._pools[status.member]
-        deadline = _attempt_deadline(request.deadline)
         try:
-            connection = await pool.acquire(request.account, deadline)
+            connection = await pool.acquire(
+                request.account,
+                request.deadline,
+                request.deadline,
+                partial(self._router.still_serves, status.member, need),
+            )
+        except OverloadedError:
+            # The member was chosen for its short queue.
+            return Err(request.refusal() or refuse_overloaded())
         except (TimeoutError, BackendUnavailableError):
             return None
         now = self.view.status(status.member)
@@ -263,6 +273,7 @@
         if refusal is not None:
             pool.release(connection)
             return Err(refusal)
+        deadline = _attempt_deadline(request.deadline)
         try:
             answer = await connection.run(request.sql, deadline)
         except ConnectionLostError:
--- a/citronwood/backend/pool.py
+++ b/citronwood/backend/pool.py
@@ -56,6 +56,11 @@
         """Number of connections that run a statement or a transaction."""
         return len(self._in_use)
 
+    @property
+    def limit(self) -> int:
+        """Number of connections allowed."""
+        return self._queue.places
+
     @property
     def connection_ids(self) -> set[int]:
         """Ids of all connections that have not been ended."""
@@ -76,14 +81,21 @@
         while self._idle and len(self._idle) + self._queue.taken > limit:
             self._end_idle()
 
-    async def acquire(self, account: str, deadline: float) -> BackendConnection:
+    async def acquire(
+        self,
+        account: str,
+        deadline: float,
+        last: float | None = None,
+        is_wanted: Callable[[], bool] | None = None,
+    ) -> BackendConnection:
         """Return a connection for one session.
 
-        Raises ``TimeoutError`` if none became free before the deadline and
+        Raises ``TimeoutError`` if none became free before the deadline or while it was
+        wanted, ``OverloadedError`` if it is sure that none will be before ``last``, and
         ``BackendUnavailableError`` if the member cannot be reached.
         """
         while True:
-            await self._queue.acquire(account, deadline)
+            await self._queue.acquire(account, deadline, last, is_wanted)
             if not self._idle:
                 connection = await self._open(min(deadline, deadline_in(CONNECT_S)))
                 break
--- a/citronwood/backend/primary.py
+++ b/citronwood/backend/primary.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
+from functools import partial
 from time import monotonic
 from typing import NamedTuple
 
@@ -13,7 +14,7 @@
 from citronwood.backend.member import MemberStatus
 from citronwood.backend.pool import Pool
 from citronwood.deadline import deadline_in, has_passed
-from citronwood.errors import BackendUnavailableError, Refusal
+from citronwood.errors import BackendUnavailableError, OverloadedError, Refusal
 from citronwood.tasks import cancel_tasks
 
 log = logging.getLogger(__name__)
@@ -21,7 +22,6 @@
 # A live old primary answers what is in flight by itself in this time.
 OLD_PRIMARY_GRACE_S = 1.0
 RETRY_S = 0.05
-POOL_WAIT_S = 0.5
 # A primary that answers polls but takes no connection: this gateway has no seat, or the
 # cap is reached. Another gateway may do better, so the statement is not held longer.
 UNREACHABLE_S = 0.5
@@ -99,20 +99,22 @@
         floor: Position | None = None,
         begin: bool = False,
         check: Callable[[], Refusal | None] | None = None,
+        patient: bool = False,
     ) -> Lease:
         """Return a connection to the primary, waiting for one to exist.
 
         Raises ``TimeoutError`` at the deadline, or once ``check`` returns a refusal,
-        which is noticed within ``POOL_WAIT_S`` of a wait for a connection. Nothing
-        has been sent then. A transaction (``begin``) must be ended with
-        ``end_transaction``.
+        which is noticed within ``CHECK_WANTED_S`` of a wait for a connection, and
+        ``OverloadedError`` if no connection will be free in time, unless the caller is
+        ``patient``. Nothing has been sent then. A transaction (``begin``) must be
+        ended with ``end_transaction``.
         """
         if self._resting and not self._wanted:
             self._wanted = True
             self._view.wake()
         self._leasing += 1
         try:
-            return await self._lease(account, deadline, floor, begin, check)
+            return await self._lease(account, deadline, floor, begin, check, patient)
         finally:
             self._leasing -= 1
 
@@ -123,10 +125,17 @@
         floor: Position | None,
         begin: bool,
         check: Callable[[], Refusal | None] | None,
+        patient: bool,
     ) -> Lease:
         def find_primary() -> MemberStatus | None:
             return self._find_primary(floor, begin)
 
+        def is_wanted(member: str) -> bool:
+            if check is not None and check() is not None:
+                return False
+            now = find_primary()
+            return now is not None and now.member == member
+
         # The time counts for each term by itself: the dead primary before a change
         # must not use up the time that the new one gets.
         unreachable_term, unreachable_until = 0, 0.0
@@ -136,8 +145,14 @@
                 break
             pool = self._pools[primary.member]
             try:
-                limit = min(deadline, deadline_in(POOL_WAIT_S))
-                connection = await pool.acquire(account, limit)
+                connection = await pool.acquire(
+                    account,
+                    deadline,
+                    None if patient else deadline,
+                    partial(is_wanted, primary.member),
+                )
+            except OverloadedError:
+                raise
             except TimeoutError:
                 # The places of a member that has died stay taken; look again which
                 # member is the primary.
--- a/citronwood/backend/queue.py
+++ b/citronwood/backend/queue.py
@@ -4,11 +4,16 @@
 import heapq
 from collections.abc import Callable
 from itertools import count
+from time import monotonic
 
-from citronwood.deadline import until
+from citronwood.backend.forecast import WaitForecast
+from citronwood.deadline import deadline_in, has_passed, time_left, until
+from citronwood.errors import OverloadedError
 
 # Accounts whose finish tag lies in the past hold no claim and are forgotten.
 FORGET_ABOVE_ACCOUNTS = 1000
+# How long a request may wait for a place that it no longer wants.
+CHECK_WANTED_S = 0.5
 
 
 class FairQueue:
@@ -28,8 +33,14 @@
         self._finish: dict[str, float] = {}
         self._waiting: list[tuple[float, int, asyncio.Future[None]]] = []
         self._given_up = 0
+        self._forecast = WaitForecast()
         self._order = count()
 
+    @property
+    def places(self) -> int:
+        """Number of places."""
+        return self._places
+
     @property
     def taken(self) -> int:
         """Number of places in use."""
@@ -54,18 +65,34 @@
         self._places = places
         self._serve()
 
-    async def acquire(self, account: str, deadline: float) -> None:
-        """Take a place, or raise ``TimeoutError`` at the deadline."""
-        start = self._tag(account)
+    async def acquire(
+        self,
+        account: str,
+        deadline: float,
+        last: float | None = None,
+        is_wanted: Callable[[], bool] | None = None,
+    ) -> None:
+        """Take a place, or raise ``TimeoutError`` at the deadline.
+
+        ``last`` is the time at which a place is of no more use. If none will surely be
+        free before it, ``OverloadedError`` is raised at once. ``is_wanted`` is asked
+        during the wait; ``TimeoutError`` is raised once it returns False.
+        """
         if self._taken < self._places and not self._waiting:
-            self._grant(start)
+            self._grant(self._tag(account))
             return
+        weight = self._weight(account)
+        if last is not None and self._forecast.is_hopeless(
+            account, weight, time_left(last)
+        ):
+            raise OverloadedError("the queue for connections is too long")
+        start = self._tag(account)
         future = asyncio.get_running_loop().create_future()
         heapq.heappush(self._waiting, (start, next(self._order), future))
+        self._forecast.joined(account, weight)
         self._serve()
         try:
-            async with until(deadline):
-                await future
+            await _wait(future, deadline, is_wanted)
         except BaseException:
             if future.done() and not future.cancelled():
                 # The place was granted in the same moment.
@@ -74,6 +101,8 @@
                 self._given_up += 1
             future.cancel()
             raise
+        finally:
+            self._forecast.left(account)
 
     def occupy(self) -> None:
         """Take a place without waiting, for something that exists already."""
@@ -106,4 +135,22 @@
                 self._given_up -= 1
                 continue
             self._grant(start)
+            self._forecast.granted(monotonic())
             future.set_result(None)
+
+
+async def _wait(
+    future: asyncio.Future[None],
+    deadline: float,
+    is_wanted: Callable[[], bool] | None,
+) -> None:
+    """Wait for a place without giving up the turn in between."""
+    if is_wanted is None:
+        async with until(deadline):
+            await future
+        return
+    while not future.done():
+        if has_passed(deadline) or not is_wanted():
+            raise TimeoutError
+        limit = min(deadline, deadline_in(CHECK_WANTED_S))
+        await asyncio.wait({future}, timeout=time_left(limit))
--- a/citronwood/backend/reads.py
+++ b/citronwood/backend/reads.py
@@ -139,6 +139,15 @@
             self._last_turn[found.member] = next(self._turns)
         return found
 
+    def still_serves(self, member: str, need: ReadNeed) -> bool:
+        """Whether a member is worth waiting for."""
+        status = self._view.status(member)
+        return (
+            status is not None
+            and self._usable(status, frozenset(), OVERDUE_S)
+            and self.serves(status, need)
+        )
+
     def serves(self, status: MemberStatus, need: ReadNeed) -> bool:
         """Whether a member satisfies a read by all that is known of the group."""
         if not may_serve(status, need):
--- a/citronwood/backend/transactions.py
+++ b/citronwood/backend/transactions.py
@@ -103,8 +103,8 @@
                 lease = await self._access.lease(
                     request.account, request.deadline, floor, True, request.refusal
                 )
-            except TimeoutError:
-                return Err(refuse_without_connection(request))
+            except TimeoutError as error:
+                return Err(refuse_without_connection(request, error))
             try:
                 outcome = await self._try_begin(request, lease)
             except BaseException:
@@ -231,7 +231,9 @@
             return Err(refuse_unknown())
         while True:
             try:
-                lease = await self._access.lease(request.account, request.deadline)
+                lease = await self._access.lease(
+                    request.account, request.deadline, patient=True
+                )
             except TimeoutError:
                 return Err(refuse_unknown())
             try:
--- a/citronwood/backend/writes.py
+++ b/citronwood/backend/writes.py
@@ -58,8 +58,8 @@
                 lease = await self._access.lease(
                     request.account, request.deadline, check=request.refusal
                 )
-            except TimeoutError:
-                return Err(refuse_without_connection(request))
+            except TimeoutError as error:
+                return Err(refuse_without_connection(request, error))
             async with self._access.writing():
                 outcome = await self._attempt(lease, request)
             if outcome is not None:
@@ -104,10 +104,13 @@
         while True:
             try:
                 lease = await self._access.lease(
-                    request.account, request.deadline, check=request.refusal
+                    request.account,
+                    request.deadline,
+                    check=request.refusal,
+                    patient=attempt.may_have_run,
                 )
-            except TimeoutError:
-                return Err(attempt.refuse())
+            except TimeoutError as error:
+                return Err(attempt.refuse(error))
             async with self._access.writing():
                 outcome = await attempt.run(lease)
             if outcome is not None:
@@ -146,11 +149,16 @@
         self._keyed = keyed
         self._may_have_run = False
 
-    def refuse(self) -> Refusal:
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the write may have taken effect."""
+        return self._may_have_run
+
+    def refuse(self, error: TimeoutError | None = None) -> Refusal:
         """Return the refusal when time is up or the key was withdrawn."""
         if self._may_have_run:
             return refuse_unknown()
-        return refuse_without_connection(self._request)
+        return refuse_without_connection(self._request, error)
 
     def _withdrawn(self) -> Refusal | None:
         """Return the refusal when the caller may no longer run the statement."""
--- a/citronwood/errors.py
+++ b/citronwood/errors.py
@@ -25,6 +25,7 @@
     ROUTE_FORBIDDEN = 9008
     BAD_SESSION_TOKEN = 9009
     ALREADY_COMMITTED = 9010
+    OVERLOADED = 9011
 
 
 class Outcome(StrEnum):
@@ -105,6 +106,13 @@
     """No connection to the backend server could be made or used."""
 
 
+class OverloadedError(BackendError, TimeoutError):
+    """A connection would surely not become free before the deadline.
+
+    A ``TimeoutError`` that comes early: nothing was sent.
+    """
+
+
 class ConnectionLostError(BackendError):
     """A backend connection broke or gave no answer in time.
 
--- a/citronwood/fleet/routing.py
+++ b/citronwood/fleet/routing.py
@@ -127,6 +127,9 @@
                     return outcome
                 if has_passed(request.deadline):
                     return outcome
+            if outcome is not None and _is_overloaded(outcome):
+                # It would not be served in time by trying the same gateways again.
+                return outcome
             await asyncio.sleep(min(pause_s, time_left(request.deadline)))
             if has_passed(request.deadline):
                 return _no_gateway(request) if outcome is None else outcome
@@ -244,8 +247,15 @@
     return single and request.idempotency_key is not None
 
 
+def _is_overloaded(outcome: Result[Reply, Refusal]) -> bool:
+    return isinstance(outcome, Err) and outcome.err_value.code == ErrorCode.OVERLOADED
+
+
 def _may_repeat(request: Request, outcome: Err[Refusal]) -> bool:
     refusal = outcome.err_value
     if refusal.outcome is Outcome.UNKNOWN:
         return _is_repeatable(request)
-    return refusal.outcome is Outcome.NOT_RUN and refusal.code == ErrorCode.NOT_RUN
+    return refusal.outcome is Outcome.NOT_RUN and refusal.code in (
+        ErrorCode.NOT_RUN,
+        ErrorCode.OVERLOADED,
+    )
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -14,6 +14,7 @@
 
 NOT_RUN = Refusal(ErrorCode.NOT_RUN, "not run")
 UNKNOWN = Refusal(ErrorCode.OUTCOME_UNKNOWN, "unknown", Outcome.UNKNOWN)
+OVERLOADED = Refusal(ErrorCode.OVERLOADED, "overloaded")
 LOST = UNKNOWN._replace(transaction_lost=True)
 
 
@@ -88,6 +89,22 @@
     assert len(second.requests) == int(repeated)
 
 
+def test_overloaded_gateways_are_asked_once():
+    # Guards against a caller that waits for its deadline although it cannot be served.
+    first, second = Answers(OVERLOADED), Answers(OVERLOADED)
+    router, _ = make_router(first, second)
+    outcome = asyncio.run(router.execute(request(StatementKind.WRITE, seconds=30)))
+    assert outcome.err_value.code == ErrorCode.OVERLOADED
+    assert len(first.requests) == len(second.requests) == 1
+
+
+def test_statement_goes_past_an_overloaded_gateway():
+    # Guards against a refusal while the other gateway of the group has room.
+    router, _ = make_router(Answers(OVERLOADED), Answers(reply()))
+    outcome = asyncio.run(router.execute(request(StatementKind.WRITE)))
+    assert isinstance(outcome, Ok)
+
+
 def test_statement_on_a_gateway_that_dies_is_unknown_at_once():
     # Guards against a caller that waits for its whole deadline.
     router, vms = make_router(Answers(None), Answers(reply()))
