Serve counters and histograms in the text format of Prometheus

Accounts beyond 5,000 histograms share one, which bounds memory and the page.

Before: nothing listens.

--- a/citronwood/cli/entry.py
+++ b/citronwood/cli/entry.py
@@ -117,6 +117,8 @@
         advertised_url=settings.advertised_url,
         ssl=_tls(settings),
         drain_s=settings.drain_s,
+        metrics_host=settings.metrics_host,
+        metrics_port=settings.metrics_port,
         operator_host=settings.operator_host,
         operator_port=settings.operator_port,
         operator_token=settings.operator_token.get_secret_value(),
--- a/citronwood/fleet/node.py
+++ b/citronwood/fleet/node.py
@@ -30,6 +30,7 @@
 from citronwood.mysql.server import MysqlService
 from citronwood.mysql.session import CallerSession, EntryServices
 from citronwood.mysql.throttle import LoginThrottle
+from citronwood.operator.exposition import MetricsServer
 from citronwood.operator.http import OperatorApi, OperatorSources
 from citronwood.operator.records import Records
 from citronwood.platform.http import HttpPlatformClient
@@ -45,7 +46,7 @@
 
     ``inner_url`` is the address to listen on for other VMs, ``drain_s`` the time that
     open transactions get at a planned stop. Without ``operator_port`` there is no
-    operator API.
+    operator API, without ``metrics_port`` metrics are not served.
     """
 
     name: str
@@ -62,6 +63,8 @@
     operator_host: str = "127.0.0.1"
     operator_port: int | None = None
     operator_token: str = ""
+    metrics_host: str = "127.0.0.1"
+    metrics_port: int | None = None
 
 
 class Node:
@@ -86,6 +89,7 @@
         self._executors: ExecutorService
         self._reports: FleetReports
         self._operator: OperatorApi | None = None
+        self._metrics_server: MetricsServer | None = None
         self._remotes: dict[str, RemoteExecutor] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -101,6 +105,7 @@
         self._slots.start()
         self.limiter.start()
         self.gateways.start()
+        await self._serve_metrics()
         await self._wait_for_share()
         await self._serve_operators()
         await self._serve_callers()
@@ -123,6 +128,8 @@
         await self.membership.close()
         if self._operator is not None:
             await self._operator.stop()
+        if self._metrics_server is not None:
+            await self._metrics_server.stop()
         await self.rpc.close()
         log.info("entry: %s has stopped", self.options.name)
 
@@ -188,6 +195,14 @@
         if self.limiter.shares.slot is not None:
             await asyncio.sleep(HOME_AFTER_S)
 
+    async def _serve_metrics(self) -> None:
+        options = self.options
+        if options.metrics_port is not None:
+            self._metrics_server = MetricsServer(
+                self.metrics, options.metrics_host, options.metrics_port
+            )
+            await self._metrics_server.start()
+
     async def _serve_operators(self) -> None:
         options = self.options
         self._reports = FleetReports(
--- a/citronwood/metrics.py
+++ b/citronwood/metrics.py
@@ -1,12 +1,14 @@
-"""Metrics, sent with statsd.
+"""Metrics, kept for the metrics address and ``citronwood status``, sent with statsd.
 
-Counters and timings go to the statsd server; histograms are kept for each client
-account and class of statement so that ``citronwood status`` can show them.
+Histograms are kept for each client account and class of statement.
 """
 
 from bisect import bisect_left
 from typing import Protocol
 
+# Accounts times classes of statements; further accounts share one histogram a class.
+MAX_HISTOGRAMS = 5_000
+OTHER_ACCOUNTS = "other accounts"
 BUCKET_BOUNDS_MS = (0.25, 0.5, 1, 2, 5, 10, 25, 50, 100, 250, 500, 1000, 2500, 10000)
 
 
@@ -31,10 +33,12 @@
 
     def __init__(self) -> None:
         self.counts = [0] * (len(BUCKET_BOUNDS_MS) + 1)
+        self.total_ms = 0.0
 
     def add(self, value_ms: float) -> None:
         """Count one duration."""
         self.counts[bisect_left(BUCKET_BOUNDS_MS, value_ms)] += 1
+        self.total_ms += value_ms
 
 
 class Metrics:
@@ -43,6 +47,7 @@
     def __init__(self, client: StatsdClient | None = None) -> None:
         self._client = client
         self._counters: dict[str, int] = {}
+        self._gauges: dict[str, float] = {}
         self._histograms: dict[tuple[str, str], Histogram] = {}
         self._timings: dict[str, Histogram] = {}
 
@@ -56,6 +61,11 @@
         """Counts since the start, by name."""
         return dict(self._counters)
 
+    @property
+    def gauges(self) -> dict[str, float]:
+        """Last values that were reported, by name."""
+        return dict(self._gauges)
+
     @property
     def histograms(self) -> dict[tuple[str, str], Histogram]:
         """Histograms by (account, class)."""
@@ -69,6 +79,7 @@
 
     def gauge(self, name: str, value: float) -> None:
         """Report a current value."""
+        self._gauges[name] = value
         if self._client is not None:
             self._client.gauge(name, value)
 
@@ -86,7 +97,9 @@
         key = (account, kind)
         histogram = self._histograms.get(key)
         if histogram is None:
-            histogram = self._histograms[key] = Histogram()
+            if len(self._histograms) >= MAX_HISTOGRAMS:
+                key = (OTHER_ACCOUNTS, kind)
+            histogram = self._histograms.setdefault(key, Histogram())
         histogram.add(value_ms)
         if self._client is not None:
             self._client.timing(f"statement.{account}.{kind}", value_ms)
--- a/citronwood/settings.py
+++ b/citronwood/settings.py
@@ -55,6 +55,10 @@
     backend_password: SecretStr = Field(description="password of that user")
     fleet_secret: SecretStr = Field(description="secret that all VMs share")
     operator_token: SecretStr = Field(description="token of the operator API")
+    metrics_host: str = Field("127.0.0.1", description="IP address of the metrics")
+    metrics_port: Port | None = Field(
+        None, description="TCP port of the metrics; without it none are served"
+    )
     tls_certificate: Path | None = Field(None, description="certificate file (PEM)")
     tls_key: Path | None = Field(None, description="private key file (PEM)")
     statsd_host: str | None = Field(None, description="host of the statsd server")
