Test the ids of requests in sessions

Cause: the id of a request was tested with real processes only, and without the ids that are refused.

Change: tests of an id that a caller sets and takes back, of the ids that the entry gives, and of ids that could forge a log line.

--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -648,3 +648,35 @@
         assert entry.executor.texts == ["INSERT INTO t VALUES (x'ff275c00', 'é')"]
 
     run(scenario)
+
+
+def test_request_carries_the_id_of_its_caller_or_one_of_its_own():
+    """Guards against refusals that cannot be found in the logs."""
+
+    async def scenario(entry):
+        caller = await connect(entry)
+        await caller(WRITE)
+        await caller(WRITE)
+        await caller("SET @citronwood_request_id = 'trace/7'")
+        await caller(WRITE)
+        assert await caller("SELECT @citronwood_request_id") == (("trace/7",),)
+        await caller("SET @citronwood_request_id = NULL")
+        await caller(WRITE)
+        ids = [request.request_id for request in entry.executor.requests]
+        assert ids[2] == "trace/7"
+        assert all(ids) and len(set(ids)) == 4
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("text", ["", "a b", "x" * 65, 'a"b', "a\\nb"])
+def test_request_id_that_could_forge_a_log_line_is_refused(text):
+    """Guards against lines in the log that a caller has written."""
+
+    async def scenario(entry):
+        caller = await connect(entry)
+        assert await caller.code(f"SET @citronwood_request_id = '{text}'") == 1231
+        await caller(WRITE)
+        assert entry.executor.requests[0].request_id not in ("", text)
+
+    run(scenario)
