Test the causes that explain names, and name an overload before a change

Cause: the causes were tested for three failures with real processes only. A statement that was refused because of an overload was explained by a change of primary, if one was within 5 s of it.

Change: tests of each cause on written lines (tests/test_story.py); the connections go first for a refusal with 9011.

--- a/citronwood/operator/story.py
+++ b/citronwood/operator/story.py
@@ -148,8 +148,9 @@
     attempt = _last(own, "attempt")
     if attempt is not None and attempt.inputs["gateway_dead"]:
         return f"{ending} gateway {attempt.inputs['gateway']} failed while it ran."
+    overloaded = statement.inputs["code"] == ErrorCode.OVERLOADED
     change = _change_of(statement.inputs["group"], context)
-    if change is not None:
+    if change is not None and not overloaded:
         inputs = change.inputs
         done = f" at term {inputs['term']}" if change.outcome == "done" else ""
         return (
--- /dev/null
+++ b/tests/test_story.py
@@ -0,0 +1,105 @@
+"""Causes of failed requests, from log lines."""
+
+import json
+
+import pytest
+
+from citronwood.operator.story import read_lines, tell_story
+
+STATEMENT = {
+    "account": "pantry",
+    "group": "g",
+    "waited_ms": 0.0,
+    "duration_ms": 900.0,
+    "config_version": 7,
+    "config_age_ms": 40,
+}
+IDLE = {"m1": {"used": 0, "limit": 4, "waiting": 0}}
+BUSY = {"m1": {"used": 4, "limit": 4, "waiting": 9}}
+
+
+def line(second, event, outcome, request="", vm="vm1", **inputs):
+    """Return a log line as a process writes it."""
+    fields = {
+        "time": f"2026-01-01T00:00:{second:06.3f}+00:00",
+        "vm": vm,
+        "message": f"{event} {outcome}",
+        "event": event,
+        "outcome": outcome,
+        "inputs": inputs,
+    }
+    return json.dumps(fields | ({"request": request} if request else {}))
+
+
+def statement(outcome, code, **changes):
+    return line(30, "statement", outcome, "r", **STATEMENT, code=code, **changes)
+
+
+def gateway(connections=IDLE, silent_ms=100):
+    inputs = {"connections": connections, "silent_ms": {"m1": silent_ms}}
+    return line(29.9, "gateway", "not_run", "r", vm="vm2", **inputs)
+
+
+def change(second=29.5, group="g"):
+    inputs = {"group": group, "reason": "silent", "old_primary": "m1", "term": 3}
+    return line(second, "primary_change", "done", vm="vm2", **inputs)
+
+
+def cause(*lines):
+    return tell_story("r", read_lines(lines)).cause
+
+
+@pytest.mark.parametrize(
+    ("lines", "expected"),
+    [
+        ([statement("unknown", 9002), change()], "primary m1 was being replaced"),
+        ([statement("refused", 9001), gateway(BUSY)], "all 4 connections of vm2 to m1"),
+        ([statement("refused", 9011), gateway(BUSY), change()], "all 4 connections"),
+        ([statement("refused", 9001), gateway(silent_ms=5_000)], "m1 had been silent"),
+        ([statement("refused", 9001), gateway()], "gateway not_run"),
+        ([statement("unknown", 9002)], "log of the gateway is missing"),
+        ([statement("failed", 1062)], "backend server refused"),
+        (
+            [line(1, "refusal", "refused", "r", code=9004, config_version=8)],
+            "withdrawn",
+        ),
+        (
+            [line(1, "refusal", "refused", "r", code=9007, config_age_ms=4_000)],
+            "nobody had confirmed its configuration for 4000 ms",
+        ),
+        ([gateway()], "line of the VM that the caller was connected to is missing"),
+    ],
+)
+def test_cause_is_named(lines, expected):
+    """Guards against a wrong cause, and against one that is made up."""
+    assert expected in cause(*lines)
+
+
+def test_failed_gateway_goes_before_the_change_it_may_have_caused():
+    """Guards against a change of primary that is blamed for a dead VM."""
+    inputs = {"gateway": "vm2", "gateway_dead": True}
+    attempt = line(29.8, "attempt", "given_up", "r", **inputs)
+    assert "gateway vm2 failed" in cause(statement("unknown", 9002), attempt, change())
+
+
+def test_changes_of_other_groups_and_times_are_no_cause():
+    """Guards against whatever else the fleet did."""
+    unrelated = change(group="other"), change(second=20), change(second=50)
+    assert "replaced" not in cause(statement("unknown", 9002), gateway(), *unrelated)
+
+
+def test_lines_are_in_order_of_time_and_foreign_ones_are_passed_over():
+    """Guards against logs of several VMs that are told one after the other."""
+    texts = [statement("unknown", 9002), "Traceback:", "{}", "[1]", change(), gateway()]
+    story = tell_story("r", read_lines(texts))
+    assert [one.event for one in story.lines] == [
+        "primary_change",
+        "gateway",
+        "statement",
+    ]
+
+
+def test_absence_counts_what_was_left_out():
+    """Guards against a request that seems never to have been there."""
+    left_out = line(1, "suppressed", "ok", lines=40)
+    assert "40 lines were left out" in cause(left_out)
