--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import contextlib
+import logging
 from time import monotonic
 
 import pytest
 
+from citronwood import decisions
 from citronwood.deadline import deadline_in
+from citronwood.decisions import LineBudget
 from citronwood.errors import (
     ObjectNotFoundError,
     PlatformError,
@@ -163,6 +166,28 @@
     asyncio.run(scenario())
 
 
+def test_outage_is_logged_once_with_its_length(caplog, monkeypatch):
+    """Guards against an outage that only its consequences show in the log."""
+    monkeypatch.setattr(decisions, "line_budget", LineBudget())
+
+    async def scenario():
+        async with service() as (platform, client):
+            await client.put("config", "current", {}, 0, soon())
+            platform.faults.down = True
+            for _ in range(2):
+                with pytest.raises(PlatformUnavailableError):
+                    await client.get("config", "current", deadline_in(0.3))
+            platform.faults.down = False
+            await client.get("config", "current", soon())
+
+    with caplog.at_level(logging.INFO, "citronwood.platform"):
+        asyncio.run(scenario())
+    found = [one.decision for one in caplog.records if hasattr(one, "decision")]
+    assert [one.outcome for one in found] == ["lost", "regained"]
+    assert {one.event for one in found} == {"dependency"}
+    assert found[1].inputs["ms"] >= 300
+
+
 def test_silent_watch_is_told_from_a_quiet_one():
     async def scenario():
         async with service() as (platform, client):
