Name the time after which an overloaded statement may be repeated

Cause: a refusal with 9011 said "repeat later". Callers that repeat at once keep the queue full of refusals.

Change: the message names a time: by how much the statement would have come too late, at least 0.5 s, and up to twice that at random, so that callers do not come back together.

--- a/citronwood/backend/answers.py
+++ b/citronwood/backend/answers.py
@@ -1,11 +1,18 @@
 """Replies and refusals of the gateway role."""
 
+import random
+
 from asyncmy.errors import MySQLError
 
 from citronwood.backend.api import Position, Reply, Request, StatementKind
 from citronwood.backend.connection import Answer
 from citronwood.errors import ErrorCode, Outcome, OverloadedError, Refusal
 
+# Shorter pauses of refused callers would only add refusals to an overload.
+MIN_RETRY_S = 0.5
+# Callers return within this factor of the time that is named to them.
+RETRY_SPREAD = 2.0
+
 # With these a member refuses a statement before it runs it.
 REFUSED_CODES = frozenset(
     {ErrorCode.READ_ONLY, ErrorCode.TOO_MANY_CONNECTIONS, ErrorCode.STALE_TERM}
@@ -48,16 +55,22 @@
     if refusal is not None:
         return refusal
     if isinstance(error, OverloadedError):
-        return refuse_overloaded()
+        return refuse_overloaded(error)
     return refuse_not_run("no primary or connection in time")
 
 
-def refuse_overloaded() -> Refusal:
-    """Return the refusal of a statement that could not run before its deadline."""
+def refuse_overloaded(error: OverloadedError) -> Refusal:
+    """Return the refusal of a statement that could not run before its deadline.
+
+    It names the time after which a repetition may find room. Who is refused behind a
+    longer queue is asked to wait for longer, and callers that are refused together come
+    back spread over that time rather than together.
+    """
+    retry_s = max(MIN_RETRY_S, error.excess_s) * random.uniform(1.0, RETRY_SPREAD)
     return Refusal(
         ErrorCode.OVERLOADED,
         "Not run: more statements wait for the database than it can run in time;"
-        " repeat later",
+        f" repeat in {retry_s:.1f} s",
     )
 
 
--- a/citronwood/backend/forecast.py
+++ b/citronwood/backend/forecast.py
@@ -58,10 +58,15 @@
         if len(self._gaps) > WINDOW:
             self._gaps_s -= self._gaps.popleft()
 
-    def is_hopeless(self, account: str, weight: float, left_s: float) -> bool:
-        """Whether another request of the account would surely wait for longer."""
+    def excess_s(self, account: str, weight: float, left_s: float) -> float | None:
+        """Return by how much another request of the account would come too late.
+
+        None if it may be served within the time that it has left.
+        """
         wait_s = self.wait_s(account, weight)
-        return wait_s is not None and wait_s > CERTAIN_FACTOR * left_s
+        if wait_s is None or wait_s <= CERTAIN_FACTOR * left_s:
+            return None
+        return wait_s - left_s
 
     def wait_s(self, account: str, weight: float) -> float | None:
         """Return how long another request would wait; None while it is unknown.
--- a/citronwood/backend/gateway.py
+++ b/citronwood/backend/gateway.py
@@ -287,9 +287,9 @@
                 request.deadline,
                 partial(self._router.still_serves, status.member, need),
             )
-        except OverloadedError:
+        except OverloadedError as error:
             # The member was chosen for its short queue.
-            return Err(request.refusal() or refuse_overloaded())
+            return Err(request.refusal() or refuse_overloaded(error))
         except (TimeoutError, BackendUnavailableError):
             return None
         now = self.view.status(status.member)
--- a/citronwood/backend/queue.py
+++ b/citronwood/backend/queue.py
@@ -82,10 +82,10 @@
             self._grant(self._tag(account))
             return
         weight = self._weight(account)
-        if last is not None and self._forecast.is_hopeless(
-            account, weight, time_left(last)
-        ):
-            raise OverloadedError("the queue for connections is too long")
+        if last is not None:
+            excess_s = self._forecast.excess_s(account, weight, time_left(last))
+            if excess_s is not None:
+                raise OverloadedError(excess_s)
         start = self._tag(account)
         future = asyncio.get_running_loop().create_future()
         heapq.heappush(self._waiting, (start, next(self._order), future))
--- a/citronwood/errors.py
+++ b/citronwood/errors.py
@@ -109,9 +109,14 @@
 class OverloadedError(BackendError, TimeoutError):
     """A connection would surely not become free before the deadline.
 
-    A ``TimeoutError`` that comes early: nothing was sent.
+    A ``TimeoutError`` that comes early: nothing was sent. ``excess_s`` is the time by
+    which the deadline is too early.
     """
 
+    def __init__(self, excess_s: float) -> None:
+        super().__init__(f"the queue for connections is {excess_s:.1f} s too long")
+        self.excess_s = excess_s
+
 
 class ConnectionLostError(BackendError):
     """A backend connection broke or gave no answer in time.
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -1,11 +1,13 @@
 """Refusal of what cannot be served in time, under replayed overloads."""
 
 import asyncio
+import re
 
 import pytest
 
 from citronwood import deadline as deadline_module
 from citronwood.backend import queue as queue_module
+from citronwood.backend.answers import MIN_RETRY_S, RETRY_SPREAD, refuse_overloaded
 from citronwood.backend.forecast import MIN_GRANTS, WaitForecast
 from citronwood.backend.queue import FairQueue
 from citronwood.errors import OverloadedError
@@ -201,7 +203,7 @@
         forecast.joined("a", 1.0)
         forecast.granted(float(number) / 10)
     assert forecast.wait_s("a", 1.0) is None
-    assert not forecast.is_hopeless("a", 1.0, 0.001)
+    assert forecast.excess_s("a", 1.0, 0.001) is None
 
 
 def test_overload_is_told_from_a_lost_primary(replay):
@@ -218,3 +220,66 @@
         await task
 
     replay(scenario)
+
+
+def refuse(excess_s):
+    """Return the time that a refusal names."""
+    refusal = refuse_overloaded(OverloadedError(excess_s))
+    return float(re.search(r"repeat in ([0-9.]+) s", refusal.message)[1])
+
+
+def test_refused_callers_return_in_turn_and_spread():
+    """Guards against refused callers that come back at once, or all together."""
+    assert min(refuse(0.01) for _ in range(100)) >= MIN_RETRY_S
+    named = [refuse(3.0) for _ in range(200)]
+    assert 3.0 <= min(named) and max(named) <= 3.0 * RETRY_SPREAD
+    assert len(set(named)) > 10
+
+
+def returning(replay, pause):
+    """Replay an overload whose refused callers come back after the pause.
+
+    Returns the refusals, the number of served requests, and when the last was served.
+    """
+    refused, served, ended = [], [], []
+
+    async def scenario(loop):
+        queue = FairQueue(PLACES, lambda account: 1.0)
+
+        async def request():
+            while True:
+                deadline = loop.time() + PATIENCE_S
+                try:
+                    await queue.acquire("a", deadline, deadline)
+                except TimeoutError as error:
+                    refused.append(loop.time())
+                    await asyncio.sleep(pause(error))
+                    continue
+                served.append(loop.time())
+                await asyncio.sleep(SERVICE_S)
+                queue.release()
+                ended.append(loop.time())
+                return
+
+        running = []
+        while loop.time() < LOAD_S / 2:
+            running.append(asyncio.ensure_future(request()))
+            await asyncio.sleep(1 / (2 * CAPACITY))
+        await asyncio.gather(*running)
+
+    replay(scenario)
+    return len(refused), len(served), max(ended)
+
+
+def test_named_pause_spares_refusals_without_losing_time(replay):
+    """Guards against an overload that lasts longer because of those who return."""
+
+    def named(error):
+        return refuse(error.excess_s) if isinstance(error, OverloadedError) else 0.5
+
+    refused, served, ended = returning(replay, named)
+    at_once, same, ended_at_once = returning(replay, lambda error: 0.1)
+    print(f"refused {refused} instead of {at_once}; ended {ended} and {ended_at_once}")
+    assert served == same
+    assert refused < at_once / 3
+    assert ended <= 1.05 * ended_at_once
