--- a/citronwood/tasks.py
+++ b/citronwood/tasks.py
@@ -5,8 +5,7 @@
 from typing import Any
 
 # A cancellation can be lost in ``asyncio.wait_for`` of Python 3.11, which returns a
-# result that arrives in the same moment. A slow cleanup is
-# cancelled again.
+# result that arrives in the same moment. A slow cleanup is cancelled again.
 CANCEL_AGAIN_S = 2.0
 
 
