Count the lines that are left out under a lock

Cause: the event loop adds to the count while the thread that writes the log takes it and sets it to zero; an addition in between could be lost. Found by reading; it was not seen.

Change: both are done under a lock, which is taken only for lines that are left out. A docstring named a field that is not there.

--- a/citronwood/decisions.py
+++ b/citronwood/decisions.py
@@ -7,6 +7,7 @@
 
 import logging
 from contextvars import ContextVar
+from threading import Lock
 from time import monotonic
 from typing import Any, NamedTuple
 
@@ -26,8 +27,7 @@
     """What a log line says beside its message.
 
     ``inputs`` are the values that decided, with the age or version of each where it has
-    one; ``suppressed`` counts lines of the same event and outcome that were left out
-    since the line before.
+    one.
     """
 
     event: str
@@ -95,10 +95,12 @@
 class LineBudget:
     """Bounds the lines of each event and outcome.
 
-    Events and outcomes are constants of the code, so there are few of them.
+    Events and outcomes are constants of the code, so there are few of them. Lines are
+    counted by the event loop and the counts taken by the thread that writes the log.
     """
 
     def __init__(self) -> None:
+        self._lock = Lock()
         self._allowances: dict[tuple[str, str], _Allowance] = {}
 
     def admits(self, event: str, outcome: str, logger: str) -> bool:
@@ -109,14 +111,16 @@
             allowance = self._allowances[event, outcome] = _Allowance(now, logger)
         if allowance.take(now):
             return True
-        allowance.suppressed += 1
+        with self._lock:
+            allowance.suppressed += 1
         return False
 
     def take_summaries(self) -> list[logging.LogRecord]:
         """Return a record for each event and outcome with lines that were left out."""
         summaries = []
         for (event, outcome), allowance in [*self._allowances.items()]:
-            count, allowance.suppressed = allowance.suppressed, 0
+            with self._lock:
+                count, allowance.suppressed = allowance.suppressed, 0
             if count:
                 inputs = {"event": event, "outcome": outcome, "lines": count}
                 decision = Decision("suppressed", outcome, "", inputs)
