Ask every gateway for a connection before BEGIN waits at one

Change: each gateway is asked for 0.5 s first; then BEGIN keeps its place at the nearest. An overload named within that time is not final. The answer of a gateway is waited for beyond the time that the gateway was given (Request.answer_by), because a BEGIN without an answer may not be repeated. New tests: one in test_routing.py (seen to fail), one in test_inner_remote.py. Conclusion: BEGIN loses its place once, after at most 1 s of its 10 s.

--- a/citronwood/backend/api.py
+++ b/citronwood/backend/api.py
@@ -60,7 +60,8 @@
     again before each attempt and before the statement is sent to a member, because it
     may wait for seconds. ``key`` is the id of the caller's key and the version of the
     configuration in which it was found valid; None for callers without a key.
-    ``request_id`` names the statement in the logs of all VMs on its way.
+    ``request_id`` names the statement in the logs of all VMs on its way. Until
+    ``answer_by``, by default the deadline, the answer of another VM is waited for.
     """
 
     session_id: str
@@ -77,6 +78,7 @@
     check: Callable[[], Refusal | None] | None = None
     key: tuple[str, int] | None = None
     request_id: str = ""
+    answer_by: float | None = None
 
     def refusal(self) -> Refusal | None:
         """Return why the caller may no longer run the request, None if it may."""
--- a/citronwood/backend/remote.py
+++ b/citronwood/backend/remote.py
@@ -69,7 +69,11 @@
         message = _statement_message(request)
         try:
             answer = await self._rpc.call(
-                self._url, message, StatementReply, request.deadline
+                self._url,
+                message,
+                StatementReply,
+                request.deadline,
+                request.answer_by,
             )
         except MessageError as error:
             return Err(Refusal(ErrorCode.STATEMENT_TOO_LONG, f"Not run: {error}"))
--- a/citronwood/fleet/routing.py
+++ b/citronwood/fleet/routing.py
@@ -20,6 +20,9 @@
 
 # A request that may be repeated is tried on another gateway after this time.
 ATTEMPT_S = 2.5
+# Wait at each gateway before BEGIN keeps its place at one of them. About
+# ten statements long: by then a gateway with connections to spare has given one.
+BEGIN_ATTEMPT_S = 0.5
 FIRST_PAUSE_S = 0.01
 MAX_PAUSE_S = 0.1
 CHECK_LIVE_S = 0.1
@@ -119,21 +122,24 @@
     async def _try_gateways(self, request: Request) -> Result[Reply, Refusal]:
         pause_s = FIRST_PAUSE_S
         outcome: Result[Reply, Refusal] | None = None
+        asks_all = request.kind is StatementKind.BEGIN
         while True:
             for held in self._candidates(request.group):
                 refusal = request.refusal()
                 if refusal is not None:
                     return Err(refusal)
-                outcome = await self._attempt(_limited(request), *held)
+                attempt = _limited(request, asks_all)
+                outcome = await self._attempt(attempt, *held)
                 if not isinstance(outcome, Err) or not _may_repeat(request, outcome):
                     self._track(request, held, outcome)
                     return outcome
                 if has_passed(request.deadline):
                     return outcome
                 self._log_attempt("retried", held[0], outcome.err_value.message)
-            if outcome is not None and _is_overloaded(outcome):
+            if outcome is not None and _is_overloaded(outcome) and not asks_all:
                 # It would not be served in time by trying the same gateways again.
                 return outcome
+            asks_all = False
             await asyncio.sleep(min(pause_s, time_left(request.deadline)))
             if has_passed(request.deadline):
                 return _no_gateway(request) if outcome is None else outcome
@@ -246,12 +252,15 @@
             self._sessions.pop(request.session_id, None)
 
 
-def _limited(request: Request) -> Request:
+def _limited(request: Request, asks_all: bool) -> Request:
     """Return the request with the deadline of one attempt."""
     if _is_repeatable(request):
-        deadline = deadline_in(ATTEMPT_S)
-        if deadline < request.deadline:
-            return request._replace(deadline=deadline)
+        limit = min(deadline_in(ATTEMPT_S), request.deadline)
+        return request._replace(deadline=limit)
+    if asks_all:
+        # A BEGIN without an answer may not be repeated, so the answer is waited for.
+        limit = min(deadline_in(BEGIN_ATTEMPT_S), request.deadline)
+        return request._replace(deadline=limit, answer_by=request.deadline)
     return request
 
 
--- a/citronwood/inner/rpc.py
+++ b/citronwood/inner/rpc.py
@@ -155,10 +155,18 @@
             self.notify(url, Reconnect())
 
     async def call(
-        self, url: str, message: Any, answer_type: type[_Answer], deadline: float
+        self,
+        url: str,
+        message: Any,
+        answer_type: type[_Answer],
+        deadline: float,
+        answer_by: float | None = None,
     ) -> _Answer:
         """Call a peer and return its answer.
 
+        The peer is given time until ``deadline``; its answer is waited for until
+        ``answer_by``, so that a refusal at the deadline still arrives.
+
         Raises
         ------
         PeerUnavailableError
@@ -177,7 +185,8 @@
         item = self._post(url, message, call_id, False, left_ms)
         self._pending[call_id] = _PendingCall(url, answer_type, future)
         # A timeout that cancels the task takes four times as many instructions.
-        timer = loop.call_later(time_left(deadline), _expire, future)
+        wait_until = deadline if answer_by is None else answer_by
+        timer = loop.call_later(time_left(wait_until), _expire, future)
         try:
             answer: _Answer = await future
         except TimeoutError:
--- a/tests/test_inner_remote.py
+++ b/tests/test_inner_remote.py
@@ -144,6 +144,18 @@
     with_service(work)
 
 
+def test_answer_after_the_time_given_to_the_gateway_is_waited_for():
+    # Guards against a refusal at the gateway's deadline that comes too late, so that
+    # the outcome of a BEGIN is unknown.
+    async def work(executor, service, local, gateway):
+        sent = request("slow", timeout=0.1, answer_by=deadline_in(5.0))
+        assert isinstance(await executor.execute(sent), Ok)
+        late = await executor.execute(request("slow", timeout=0.1))
+        assert late.err_value.outcome is Outcome.UNKNOWN
+
+    with_service(work)
+
+
 def test_row_longer_than_a_message_is_an_error():
     async def work(executor, service, local, gateway):
         refusal = (await executor.execute(request("rows 1 1000000"))).err_value
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -9,7 +9,7 @@
 from citronwood.deadline import deadline_in
 from citronwood.errors import ErrorCode, Outcome, Refusal
 from citronwood.fleet.placement import choose_gateways
-from citronwood.fleet.routing import GroupRouter
+from citronwood.fleet.routing import BEGIN_ATTEMPT_S, GroupRouter
 from citronwood.inner.messages import VmState
 
 NOT_RUN = Refusal(ErrorCode.NOT_RUN, "not run")
@@ -105,6 +105,19 @@
     assert isinstance(outcome, Ok)
 
 
+def test_begin_keeps_its_place_only_after_all_gateways_were_asked():
+    # Guards against a BEGIN that is refused because it would not be served within the
+    # short time in which every gateway is asked once.
+    first, second = Answers(OVERLOADED, reply(in_transaction=True)), Answers(OVERLOADED)
+    router, _ = make_router(first, second)
+    begin = request(StatementKind.BEGIN, seconds=30)
+    outcome = asyncio.run(router.execute(begin))
+    assert isinstance(outcome, Ok)
+    assert first.requests[0].deadline <= deadline_in(BEGIN_ATTEMPT_S)
+    assert second.requests[0].deadline <= deadline_in(BEGIN_ATTEMPT_S)
+    assert first.requests[1].deadline == begin.deadline
+
+
 def test_statement_on_a_gateway_that_dies_is_unknown_at_once():
     # Guards against a caller that waits for its whole deadline.
     router, vms = make_router(Answers(None), Answers(reply()))
