--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,7 @@
 import gc
 
-# Hypothesis would otherwise be imported by its plugin after the last test. The parser of
-# Python 3.11 raises SystemError if a finalizer of an earlier test's object prints a
+# Hypothesis would otherwise be imported by its plugin after the last test. The parser
+# of Python 3.11 raises SystemError if a finalizer of an earlier test's object prints a
 # traceback meanwhile.
 import hypothesis  # noqa: F401
 import pytest
