Let deputies grant operations while the leader does not answer

A VM lends its share to one VM at a time (relay/grantors.py); the VM that grants hands out as much as is lent to it. Reports move to relay/reports.py; no request waits for a leader that gave no answer.

--- a/citronwood/relay/allowance.py
+++ b/citronwood/relay/allowance.py
@@ -1,9 +1,10 @@
 """Limits of client accounts over all VMs.
 
-The leader holds a token bucket for each account and grants operations to the VMs that
-ask. A grant is used within ``GRANT_S`` or given back. Without a leader a VM admits its
-equal share of the rate; the leader keeps the shares of the VMs that it does not hear
-out of its own rate, so that both together stay within the limit.
+The VM that grants, as a rule the leader, holds a token bucket for each account and
+grants operations to the VMs that ask. A grant is used within ``GRANT_S`` or given back.
+Without a VM that grants, each admits its equal share of the rate; the VM that grants
+keeps the shares of those that it does not hear out of its own rate, so that all
+together stay within the limit.
 
 Load pattern: one account sends many times its rate through a few VMs, while the other
 accounts' operations arrive singly and unevenly at all of them.
@@ -16,14 +17,14 @@
 from typing import NamedTuple
 
 from citronwood.relay.clock import now
-from citronwood.relay.messages import LeaderAnswer, ReportToLeader
 from citronwood.relay.model import Account, Rules
 
 # Life of a grant at a VM. Short against the window over which limits are judged, so
 # that operations from grants do not add up to a second burst.
 GRANT_S = 0.5
-# A VM that was not heard for so long is counted as using its own share.
-SILENT_S = 2.0
+# A VM that was not heard for so long is counted as using its own share. Two reports of
+# one of 200 VMs fit in.
+SILENT_S = 1.5
 # Tokens asked for ahead, in seconds of an account's recent operations at this VM.
 AHEAD_S = 0.4
 MIN_RETRY_S = 0.05
@@ -31,6 +32,13 @@
 RECENT_S = 1.0
 
 
+class Grants(NamedTuple):
+    """Granted operations by account, and waits in ms where there were none."""
+
+    granted: dict[str, int]
+    retry_ms: dict[str, int]
+
+
 class _Bucket:
     def __init__(self, rate: float, burst: float, level: float) -> None:
         self.rate = rate
@@ -63,10 +71,10 @@
 
 
 class AccountBuckets:
-    """The leader's buckets.
+    """The buckets of a VM that grants.
 
-    A new leader starts with the tokens of ``START_S`` seconds, because grants of its
-    predecessor may be in use.
+    It starts with the tokens of ``START_S`` seconds, because grants of its predecessor
+    may be in use; also after a time in which no VM lent it shares.
     """
 
     START_S = 0.25
@@ -81,22 +89,36 @@
         """Take the number of VMs that may admit operations."""
         self._vm_count = max(1, count)
 
-    def grant(
-        self, vm: str, report: ReportToLeader
-    ) -> tuple[dict[str, int], dict[str, int]]:
-        """Return granted operations, and waits in ms where there were none."""
+    @property
+    def lenders(self) -> frozenset[str]:
+        """The VMs whose shares may be granted now."""
+        limit = now() - SILENT_S
+        return frozenset(vm for vm, time in self._heard.items() if time >= limit)
+
+    def _count_lenders(self) -> int:
+        limit = now() - SILENT_S
+        return sum(1 for time in self._heard.values() if time >= limit)
+
+    def leave(self, vm: str) -> None:
+        """Grant nothing from a VM's shares any more."""
+        self._heard.pop(vm, None)
+
+    def grant(self, vm: str, wanted: dict[str, int], unused: dict[str, int]) -> Grants:
+        """Grant operations to a VM, which lends its shares with the question."""
+        if not self._count_lenders():
+            self._buckets.clear()
         self._heard[vm] = now()
-        share = self._heard_share()
+        share = min(1.0, self._count_lenders() / self._vm_count)
         granted: dict[str, int] = {}
         retry: dict[str, int] = {}
         rules = self._rules()
         if rules is None:
-            return granted, retry
-        for name, count in report.unused.items():
+            return Grants(granted, retry)
+        for name, count in unused.items():
             bucket = self._bucket(rules, name, share)
             if bucket is not None and count > 0:
                 bucket.give_back(count)
-        for name, count in report.wanted.items():
+        for name, count in wanted.items():
             bucket = self._bucket(rules, name, share)
             if bucket is None:
                 granted[name] = count
@@ -104,27 +126,21 @@
             granted[name] = bucket.take(count)
             if not granted[name]:
                 retry[name] = ceil(bucket.wait_s() * 1000)
-        return granted, retry
-
-    def _heard_share(self) -> float:
-        limit = now() - SILENT_S
-        heard = sum(1 for time in self._heard.values() if time >= limit)
-        return min(1.0, heard / self._vm_count)
+        return Grants(granted, retry)
 
     def _bucket(self, rules: Rules, name: str, share: float) -> _Bucket | None:
         account = rules.accounts.get(name)
         if account is None or account.rate is None:
             return None
         bucket = self._buckets.get(name)
+        rate, burst = account.rate * share, max(1.0, account.burst * share)
         if bucket is None:
-            level = account.rate * self.START_S
-            bucket = _Bucket(account.rate * share, account.burst, level)
+            bucket = _Bucket(rate, burst, account.rate * self.START_S)
             self._buckets[name] = bucket
-        if bucket.rate != account.rate * share or bucket.burst != account.burst:
+        if bucket.rate != rate or bucket.burst != burst:
             # Fills up at the old rate first.
             bucket.give_back(0)
-            bucket.rate = account.rate * share
-            bucket.burst = account.burst
+            bucket.rate, bucket.burst = rate, burst
         return bucket
 
 
@@ -159,20 +175,20 @@
     Parameters
     ----------
     ask : callable
-        Sends a report to the leader; None when the leader did not answer.
+        Asks a VM that grants; None when there is none.
     """
 
     def __init__(
         self,
-        ask: Callable[[dict[str, int], dict[str, int]], Awaitable[LeaderAnswer | None]],
+        ask: Callable[[dict[str, int], dict[str, int]], Awaitable[Grants | None]],
         vm_count: Callable[[], int],
     ) -> None:
         self._ask = ask
         self._vm_count = vm_count
         self._accounts: dict[str, _AccountAllowance] = {}
         self._asking: asyncio.Task[None] | None = None
-        self._answered = asyncio.Event()
-        self._has_leader = False
+        self._has_grantor = False
+        self._alone_since = now()
 
     async def take(self, account: Account, deadline: float) -> float | None:
         """Return None, or the seconds after which to come back."""
@@ -190,10 +206,10 @@
                 return MIN_RETRY_S
             allowance.waiting += 1
             try:
-                await self._ask_leader()
+                await self._ask_grantor()
             finally:
                 allowance.waiting -= 1
-            if not self._has_leader:
+            if not self._has_grantor:
                 return self._take_own(account, allowance)
 
     def take_unused(self) -> dict[str, int]:
@@ -227,13 +243,14 @@
         count = max(1, self._vm_count())
         rate, burst = account.rate / count, max(1.0, account.burst / count)
         if allowance.own is None:
-            allowance.own = _Bucket(rate, burst, 1.0)
+            earned = min(burst, rate * (now() - self._alone_since))
+            allowance.own = _Bucket(rate, burst, earned)
         allowance.own.rate, allowance.own.burst = rate, burst
         if allowance.own.take(1):
             return None
         return min(MAX_RETRY_S, max(MIN_RETRY_S, allowance.own.wait_s()))
 
-    async def _ask_leader(self) -> None:
+    async def _ask_grantor(self) -> None:
         """Ask for all accounts with waiting operations; one question at a time."""
         if self._asking is None or self._asking.done():
             self._asking = asyncio.create_task(self._exchange())
@@ -243,9 +260,13 @@
         asked_at = now()
         wanted, unused = self.wanted(), self.take_unused()
         answer = await self._ask(wanted, unused)
-        self._has_leader = answer is not None
+        self._has_grantor = answer is not None
         if answer is None:
             return
+        # The shares are lent from now on, and earn nothing here.
+        self._alone_since = now()
+        for known in self._accounts.values():
+            known.own = None
         for name, count in answer.granted.items():
             allowance = self._accounts.get(name)
             if allowance is None:
--- a/citronwood/relay/messages.py
+++ b/citronwood/relay/messages.py
@@ -7,12 +7,15 @@
     """Regular message of a VM to the leader.
 
     ``wanted`` is the number of operations by account for which the VM asks leave,
-    ``unused`` what it gives back of earlier grants.
+    ``unused`` what it gives back of earlier grants. With ``lends`` the leader may grant
+    from the VM's shares of the accounts' rates until it is told otherwise or hears
+    nothing for a while.
     """
 
     process: int
     wanted: dict[str, int]
     unused: dict[str, int]
+    lends: bool
 
 
 class LeaderAnswer(NamedTuple):
@@ -25,6 +28,7 @@
     ``vm_count`` is the number of registered VMs.
     ``retry_ms`` gives for an account without grants the time after which there may be
     some. ``positions`` gives (term, number, age in ms) of the newest position by group.
+    ``deputies`` are the addresses of VMs to ask when the leader does not answer.
     """
 
     is_leader: bool
@@ -37,6 +41,25 @@
     granted: dict[str, int]
     retry_ms: dict[str, int]
     positions: dict[str, tuple[int, int, int]]
+    deputies: list[str]
+
+
+class AskDeputy(NamedTuple):
+    """Question for operations while the leader does not answer.
+
+    ``wanted``, ``unused`` and ``lends`` are those of a report to the leader.
+    """
+
+    wanted: dict[str, int]
+    unused: dict[str, int]
+    lends: bool
+
+
+class DeputyAnswer(NamedTuple):
+    """Granted operations by account, and waits in ms for those without."""
+
+    granted: dict[str, int]
+    retry_ms: dict[str, int]
 
 
 class FenceGroup(NamedTuple):
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -6,7 +6,6 @@
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
-from urllib.parse import urlsplit
 
 from citronwood.deadline import deadline_in, until
 from citronwood.decisions import log_state
@@ -20,10 +19,11 @@
 from citronwood.inner.rpc import Caller, Rpc
 from citronwood.metrics import Metrics
 from citronwood.platform.api import Listing, ObjectStore
-from citronwood.relay.allowance import AccountBuckets, Allowance
+from citronwood.relay.allowance import AccountBuckets, Allowance, Grants
 from citronwood.relay.clock import now
 from citronwood.relay.failover import Failover, Promotion
 from citronwood.relay.feeds import Feed
+from citronwood.relay.grantors import choose_deputies
 from citronwood.relay.leadership import Leadership, decode_state, encode_state
 from citronwood.relay.messages import (
     AskFeed,
@@ -39,6 +39,7 @@
 from citronwood.relay.model import BackendServer, Rules
 from citronwood.relay.probes import STATUS_S, Probes
 from citronwood.relay.registry import VmRegistry
+from citronwood.relay.reports import Reports, has_ended
 from citronwood.relay.routing import Relay
 from citronwood.relay.servers import Servers
 from citronwood.relay.session import Session
@@ -58,21 +59,14 @@
 POLL_S = 0.6
 MAX_AGE_MS = 3_600_000
 FETCH_S = 0.6
-REPORT_INTERVAL_S = 0.5
 # Number of VMs to share limits with while the true one is not known.
 ASSUMED_VMS = 100
-# What a leader on a third of a core can answer beside its part of the traffic.
-REPORTS_PER_S = 200.0
-REPORT_CALL_S = 0.25
-# After a leader gave no answer it is not waited for again for so long.
-LEADER_RETRY_S = 0.4
 TIDY_INTERVAL_S = 0.4
 # A server missing from the list is dropped after this: entries that lapsed during an
 # outage of the store are back within two seconds of its return.
 MISSING_S = 2.5
 # Statements that run at an old primary may end before its connections are closed.
 FENCE_WAIT_S = 0.25
-ENDED_CHECK_S = 0.3
 
 
 class RelayOptions(NamedTuple):
@@ -128,7 +122,19 @@
             store, self._view, options.name, self._process, self._url, self._announce
         )
         self._buckets = AccountBuckets(lambda: self._rules)
-        self._allowance = Allowance(self._report, lambda: self._vm_count)
+        self._reports = Reports(
+            options.name,
+            self._process,
+            self._url,
+            self._view,
+            self._leadership,
+            self._buckets,
+            self._lead_answer,
+            self._hear_leader,
+            lambda: self._vm_count,
+        )
+        self._deputies: list[str] = []
+        self._allowance = Allowance(self._reports.ask, lambda: self._vm_count)
         self._registry = VmRegistry(
             store,
             self._view,
@@ -140,7 +146,6 @@
         )
         # Until the number is known, no more than a small share is taken.
         self._vm_count = ASSUMED_VMS
-        self._leader_failed_at = -1e9
         self._promote = promote
         self._rpc: Rpc | None = None
         self._failover: Failover | None = None
@@ -173,12 +178,12 @@
             await self._view.wait_for_change()
         self._start_rpc(state.secret)
         # What the leader has is fetched from it, the rest from the store.
-        await self._report({}, {})
+        await self._reports.report({})
         await self._fetch_feeds()
         loops: list[Awaitable[None]] = [
             self._follow_feeds(),
             self._registry.register(),
-            self._report_regularly(),
+            self._reports.run(self._allowance.take_unused),
             self._registry.follow(),
             self._tidy(),
         ]
@@ -193,6 +198,7 @@
         self._probes.close()
         await self._registry.unregister()
         await cancel_tasks(self._tasks)
+        await self._reports.close()
         if self._rpc is not None:
             await self._rpc.close()
 
@@ -205,6 +211,7 @@
         rpc.serve(AskReachable, self._on_ask_reachable)
         rpc.serve(AskFeed, self._on_ask_feed)
         rpc.listen(StateChanged, self._on_state)
+        self._reports.start(rpc)
         rpc.start(self._url)
         self._rpc = rpc
         self._failover = Failover(
@@ -216,7 +223,7 @@
             rpc,
             self._promote,
             self._registry.list_vms,
-            self._has_ended,
+            has_ended,
             self._fence,
             self._groups,
         )
@@ -228,12 +235,17 @@
 
     def _lead_answer(self, vm: str, message: ReportToLeader) -> LeaderAnswer:
         state = self._view.state
-        if state is None or not self._is_named_leader(state):
-            return LeaderAnswer(False, False, 0, 0, {}, 0, 0, {}, {}, {})
+        if state is None or not self._reports.is_named_leader(state):
+            self._buckets.leave(vm)
+            return LeaderAnswer(False, False, 0, 0, {}, 0, 0, {}, {}, {}, [])
         # Also after the time to lead has ended, as in an outage of the store: the
         # grants of two leaders together stay below the limit, as each keeps out the
         # shares of the VMs that it does not hear.
-        granted, retry = self._buckets.grant(vm, message)
+        grants = Grants({}, {})
+        if message.lends:
+            grants = self._buckets.grant(vm, message.wanted, message.unused)
+        else:
+            self._buckets.leave(vm)
         positions: dict[str, tuple[int, int, int]] = {}
         for group in self._groups():
             newest = self._probes.positions(group).newest
@@ -250,16 +262,12 @@
             feed_versions=versions,
             feeds_age_ms=min(MAX_AGE_MS, int((now() - polled_at) * 1000)),
             vm_count=self._vm_count,
-            granted=granted,
-            retry_ms=retry,
+            granted=grants.granted,
+            retry_ms=grants.retry_ms,
             positions=positions,
+            deputies=self._deputies,
         )
 
-    def _is_named_leader(self, state: FleetState) -> bool:
-        """Whether the state names this process, and not an earlier one of this VM."""
-        leader = (state.leader, state.leader_process)
-        return leader == (self._options.name, self._process)
-
     async def _on_fence(self, message: FenceGroup, _: Caller) -> GroupFenced:
         await self._fence(message)
         return GroupFenced(self._process)
@@ -301,36 +309,6 @@
 
     # What this VM asks.
 
-    async def _report(
-        self, wanted: dict[str, int], unused: dict[str, int]
-    ) -> LeaderAnswer | None:
-        """Report to the leader; None when there is no answer."""
-        state = self._view.state
-        if state is None or self._rpc is None or not state.leader:
-            return None
-        message = ReportToLeader(self._process, wanted, unused)
-        if self._is_named_leader(state):
-            answer = self._lead_answer(self._options.name, message)
-            return answer if answer.grants else None
-        if now() < self._leader_failed_at + LEADER_RETRY_S:
-            return None
-        asked_at = now()
-        try:
-            answer = await self._rpc.call(
-                state.leader_url, message, LeaderAnswer, deadline_in(REPORT_CALL_S)
-            )
-        except (PeerUnavailableError, DeadlineExceededError, CallFailedError) as error:
-            self._leader_failed_at = now()
-            log_state(
-                log, "report", "failed", f"fleet: no answer of the leader: {error}"
-            )
-            if await self._has_ended(state.leader_url):
-                self._leadership.leader_ended(state.leader, state.leader_process)
-            return None
-        if answer.is_leader:
-            self._hear_leader(asked_at, answer)
-        return answer if answer.grants else None
-
     def _hear_leader(self, asked_at: float, answer: LeaderAnswer) -> None:
         self._leadership.heard(asked_at, answer.state_version, answer.edition)
         self._count_vms(answer.vm_count)
@@ -345,30 +323,11 @@
         for group, (term, number, age_ms) in answer.positions.items():
             self._probes.observe(group, term, number, asked_at - age_ms / 1000)
 
-    async def _report_regularly(self) -> None:
-        while True:
-            interval_s = max(REPORT_INTERVAL_S, self._vm_count / REPORTS_PER_S)
-            await asyncio.sleep(interval_s * random.uniform(0.9, 1.1))
-            await self._report({}, self._allowance.take_unused())
-
-    async def _has_ended(self, url: str) -> bool:
-        """Whether no process listens at an address of another VM."""
-        parts = urlsplit(url)
-        try:
-            async with until(deadline_in(ENDED_CHECK_S)):
-                _, writer = await asyncio.open_connection(parts.hostname, parts.port)
-        except ConnectionRefusedError:
-            return True
-        except (OSError, TimeoutError):
-            return False
-        writer.close()
-        return False
-
     # What the platform's store holds.
 
     async def _on_registered(self) -> None:
         """Get the fleet's state from the leader, or else from the store."""
-        await self._report({}, {})
+        await self._reports.report({})
         if not self._view.is_valid:
             self._leadership.read_soon()
 
@@ -478,3 +437,4 @@
             await asyncio.sleep(TIDY_INTERVAL_S)
             self._drop_missing()
             self._servers.tidy()
+            self._deputies = choose_deputies(self._registry.vms, self._buckets.lenders)
--- a/tests/test_relay_allowance.py
+++ b/tests/test_relay_allowance.py
@@ -7,7 +7,6 @@
 
 from citronwood.relay import allowance as allowance_module
 from citronwood.relay.allowance import AccountBuckets, Allowance
-from citronwood.relay.messages import LeaderAnswer, ReportToLeader
 from citronwood.relay.model import Account, Rules
 
 VMS = 18
@@ -42,20 +41,7 @@
         async def ask(wanted, unused):
             if number in self.cut_off:
                 return None
-            report = ReportToLeader(1, wanted, unused)
-            granted, retry = buckets().grant(f"vm{number}", report)
-            return LeaderAnswer(
-                is_leader=True,
-                grants=True,
-                state_version=1,
-                edition=1,
-                feed_versions={},
-                feeds_age_ms=0,
-                vm_count=VMS,
-                granted=granted,
-                retry_ms=retry,
-                positions={},
-            )
+            return buckets().grant(f"vm{number}", wanted, unused)
 
         return ask
 
@@ -77,8 +63,7 @@
                 if self.time >= report_at[number]:
                     report_at[number] += 0.4
                     if number not in self.cut_off:
-                        report = ReportToLeader(1, {}, vm.take_unused())
-                        self.buckets.grant(f"vm{number}", report)
+                        self.buckets.grant(f"vm{number}", {}, vm.take_unused())
             for name, rate in arrivals.items():
                 count = int(rate * step + random.random())
                 for _ in range(count):
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -369,9 +369,9 @@
     # Its predecessor's grants may still be in use.
     async def scenario(vms, store, group):
         leader = next(vm for vm in vms if vm.node._leadership.is_leader)
-        report = ReportToLeader(1, {"acme": 5}, {})
+        report = ReportToLeader(1, {"acme": 5}, {}, True)
         assert leader.node._lead_answer("vm", report).granted == {"acme": 5}
-        leader.node._process += 1
+        leader.node._reports._process += 1
         answer = leader.node._lead_answer("vm", report)
         assert not answer.grants
         assert answer.granted == {}
