Pass over a deputy that never answered at once

Change: a VM that has not answered since the shares were lent to it is passed over at once; a second silence of VMs that had answered waits for 2 s within 7 instead of 5 s.

--- a/citronwood/relay/grantors.py
+++ b/citronwood/relay/grantors.py
@@ -26,7 +26,7 @@
 # A VM that is lost does not grant any more, but the one that gives no answer may not be
 # lost. Its shares are lent to another at once only if that did not happen lately: what
 # both grant for SILENT_S is then within what the platform tolerates.
-EARLY_RETURN_S = 5.0
+EARLY_RETURN_S = 7.0
 # A deputy that gave no answer is not asked again for so long: the shares that it may
 # still count are free before, so that the next deputy is asked first.
 DEPUTY_RETRY_S = 2 * LENT_S
@@ -54,6 +54,7 @@
         self._lent_until = 0.0
         self._silent_until: dict[str, float] = {}
         self._early_return_at = 0.0
+        self._has_answered = False
 
     @property
     def lent_to(self) -> str:
@@ -86,6 +87,8 @@
 
     def lend(self, url: str) -> None:
         """Note that the shares are lent with a question that is sent now."""
+        if url != self.lent_to:
+            self._has_answered = False
         self._lent_to = url
         self._lent_until = now() + LENT_S
 
@@ -97,6 +100,7 @@
     def answered(self, url: str) -> None:
         """Note an answer."""
         self._silent_until.pop(url, None)
+        self._has_answered = self._has_answered or url == self._lent_to
 
     def leader_silent(self, url: str) -> None:
         """Note that the leader gave no answer; regular reports tell when it does."""
@@ -109,6 +113,11 @@
         self._return_early(url)
 
     def _return_early(self, url: str) -> None:
-        if url == self.lent_to and now() >= self._early_return_at:
+        if url != self.lent_to:
+            return
+        if self._has_answered:
+            if now() < self._early_return_at:
+                return
             self._early_return_at = now() + EARLY_RETURN_S
-            self._lent_to = ""
+        # A VM that has not answered at all is hardly one that counts the shares.
+        self._lent_to = ""
--- a/tests/test_relay_grantors.py
+++ b/tests/test_relay_grantors.py
@@ -303,17 +303,24 @@
     choice.name_deputies(["d1", "d2"])
     assert choice.choose("leader") == "leader"
     choice.lend("leader")
+    choice.answered("leader")
     # The first loss for long is taken for the end of the leader.
     choice.leader_silent("leader")
     assert choice.choose("leader") == "d1"
     choice.lend("d1")
+    choice.answered("d1")
     choice.deputy_silent("d1")
     assert choice.choose("leader") == ""
     time[0] += LENT_S + 0.01
     assert choice.choose("leader") == "d2"
+    # One that never answered does not count the shares.
+    choice.lend("d2")
+    choice.deputy_silent("d2")
+    assert choice.choose("leader") == ""
     time[0] += DEPUTY_RETRY_S
     assert choice.choose("leader") == "d1"
     choice.lend("d1")
+    choice.answered("d1")
     choice.answered("leader")
     assert choice.choose("leader") == "d1"
     assert not choice.may_lend_to("leader")
