Answer no caller that has left

Change: the listener sends through one function that raises ConnectionResetError when the connection is closing, which is counted as callers.disconnected like other ends. Before: tests/test_relay_callers.py failed; after: it passes. Conclusion: errors in the log are faults again.

--- a/citronwood/platform/callers.py
+++ b/citronwood/platform/callers.py
@@ -174,10 +174,10 @@
                 failure.reason.value,
                 f"entry: a session was refused: {failure.message}",
             )
-            self._writer.write(encode_failure(failure))
+            self._send(encode_failure(failure))
             await self._writer.drain()
             return None
-        self._writer.write(encode_ready(session.state, None))
+        self._send(encode_ready(session.state, None))
         return session
 
     async def _serve_statement(self, session: Session) -> bool:
@@ -191,15 +191,19 @@
         except MessageError as error:
             self._metrics.count("callers.malformed")
             failure = Failure(Reason.MALFORMED, str(error))
-            self._writer.write(
-                encode_answer(Answer(failure=failure, state=session.state))
-            )
+            self._send(encode_answer(Answer(failure=failure, state=session.state)))
             return True
         if statement is None:
             return False
-        self._writer.write(encode_answer(await self._answer(session, statement)))
+        self._send(encode_answer(await self._answer(session, statement)))
         return True
 
+    def _send(self, data: bytes) -> None:
+        """Write, or raise ``ConnectionResetError`` when the caller has left."""
+        if self._writer.is_closing():
+            raise ConnectionResetError("the caller has left")
+        self._writer.write(data)
+
     async def _answer(self, session: Session, statement: Statement) -> Answer:
         rules = self._node.rules
         assert rules is not None
--- /dev/null
+++ b/tests/test_relay_callers.py
@@ -0,0 +1,79 @@
+"""The callers' listener, with a session that the test controls."""
+
+import asyncio
+import socket
+import struct
+
+import uvloop
+
+from citronwood.metrics import Metrics
+from citronwood.platform.callers import CallerListener
+from citronwood.platform.nodefile import Address
+from citronwood.relay.model import Rules
+from citronwood.relay.statement import Answer, TransactionState
+from tests.fleet_helpers import eventually
+from tests.processes import reserve_port
+
+
+class WaitingSession:
+    """Session whose statements run until the test lets them end."""
+
+    state = TransactionState.IDLE
+    account = "acme"
+
+    def __init__(self):
+        self.started = asyncio.Event()
+        self.may_end = asyncio.Event()
+        self.closed = False
+
+    def check(self, rules):
+        return None
+
+    async def handle(self, statement, rules):
+        self.started.set()
+        await self.may_end.wait()
+        return Answer()
+
+    async def close(self):
+        self.closed = True
+
+
+class Node:
+    def __init__(self, session):
+        self.rules = Rules(1, {}, {}, {}, {}, 3.0)
+        self._session = session
+
+    def open_session(self, database, key):
+        return self._session
+
+
+def test_caller_that_left_during_its_statement_is_no_error():
+    # almsround-nw-grown, trouble-1: 3,242 tracebacks in a day, because uvloop raises
+    # RuntimeError for a write to a connection that has ended.
+    errors = []
+
+    async def scenario():
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: errors.append(context)
+        )
+        session = WaitingSession()
+        port = reserve_port()
+        metrics = Metrics()
+        listener = CallerListener(Node(session), Address("127.0.0.1", port), metrics)
+        await listener.start()
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"START db key\r\nQUERY 1 READ x\r\n")
+        await session.started.wait()
+        (connection,) = listener._connections
+        # Closes with a reset, as a process that is killed does.
+        linger = struct.pack("ii", 1, 0)
+        caller = writer.get_extra_info("socket")
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+        await eventually(connection._writer.is_closing)
+        session.may_end.set()
+        await eventually(lambda: session.closed and not listener._connections)
+        await listener.stop(0.0)
+
+    uvloop.run(scenario())
+    assert errors == []
