--- a/citronwood/relay/routing.py
+++ b/citronwood/relay/routing.py
@@ -25,8 +25,10 @@
 # Commits younger than this are looked for at the primary, as replicas receive and apply
 # them a few tens of milliseconds later.
 REPLICA_DELAY_S = 0.1
-# Pause before a request that no server took is offered again.
+# Pause before a request that no server took is offered again; it doubles up to the
+# second value, a fourth of the shortest time-out of the known routes.
 RETRY_PAUSE_S = 0.03
+MAX_RETRY_PAUSE_S = 0.25
 # When callers of a group without a primary may come back: a change takes about that.
 CHANGE_RETRY_S = 0.5
 OVERLOAD_RETRY_S = 0.25
@@ -76,6 +78,7 @@
         self.group = ""
         self.servers: list[str] = []
         self.floor: Position | None = None
+        self.pauses = 0
 
 
 class OwnCommit(NamedTuple):
@@ -235,11 +238,16 @@
 
     async def pause(self, deadline: float, why: str) -> None:
         """Wait before another attempt, or give up when there is no time for one."""
-        if time_left(deadline) <= RETRY_PAUSE_S:
+        left_s = time_left(deadline)
+        if left_s <= 2 * RETRY_PAUSE_S:
             text = retry_message(f"not run: {why}", OVERLOAD_RETRY_S)
             raise refusal(Reason.ABORTED, text)
+        pause_s = min(MAX_RETRY_PAUSE_S, RETRY_PAUSE_S * 2.0**self.trace.pauses)
+        # The last attempt has the time of one pause.
+        pause_s = min(pause_s, left_s - RETRY_PAUSE_S)
+        self.trace.pauses += 1
         try:
-            async with until(monotonic() + RETRY_PAUSE_S):
+            async with until(monotonic() + pause_s):
                 await self._relay.view.wait_for_change()
         except TimeoutError:
             return
