--- a/Makefile
+++ b/Makefile
@@ -15,10 +15,13 @@
 demo: install
 	$(BIN)/python -m benchmarks.demo
 
+# What else runs beside the tests without bounds in seconds, for example lint.
+BESIDE ?=
+
 # Tests with bounds in seconds run alone, the others side by side.
 test: install
 	$(MAKE) test-realtime
-	$(MAKE) --jobs 2 --output-sync=target test-limits test-others
+	$(MAKE) --jobs 3 --output-sync=target test-limits test-others $(BESIDE)
 
 test-realtime: install
 	$(BIN)/python -m pytest --ignore tests/test_limits_fleet.py -m realtime
