--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	$(BIN)/python -m pytest tests/test_limits_fleet.py
 
 test-others: install
-	$(BIN)/python -m pytest --ignore tests/test_limits_fleet.py -m "not realtime" -n 4 --dist worksteal
+	$(BIN)/python -m pytest --ignore tests/test_limits_fleet.py -m "not realtime" -n 6 --dist worksteal
 
 lint: install
 	$(BIN)/ruff format --check citronwood tests benchmarks
--- a/citronwood/cli/node.py
+++ b/citronwood/cli/node.py
@@ -6,7 +6,7 @@
 
 from citronwood.errors import SettingsError
 from citronwood.platform.nodefile import load_settings
-from citronwood.platform.program import EXIT_CODE_INVALID, main, settings_path
+from citronwood.platform.process import EXIT_CODE_INVALID, main, settings_path
 
 
 class NodeCommand(Command):
--- /dev/null
+++ b/citronwood/platform/process.py
@@ -0,0 +1,116 @@
+"""The process that runs on a VM of the platform."""
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+from pathlib import Path
+
+import uvloop
+
+from citronwood.decisions import log_state
+from citronwood.errors import SettingsError
+from citronwood.logs import configure_logs
+from citronwood.metrics import Metrics
+from citronwood.operator.exposition import MetricsServer
+from citronwood.platform.callers import CallerListener, Readiness
+from citronwood.platform.nodefile import (
+    SETTINGS_VARIABLE,
+    NodeSettings,
+    load_settings,
+)
+from citronwood.platform.objects import HttpObjectStore
+from citronwood.platform.promotion import HttpPromotion
+from citronwood.platform.records import (
+    RULES_KIND,
+    SERVERS_KIND,
+    decode_rules,
+    decode_servers,
+)
+from citronwood.platform.wire import connect
+from citronwood.relay.node import FeedKinds, RelayNode, RelayOptions
+
+log = logging.getLogger(__name__)
+
+EXIT_CODE_INVALID = 2
+# Named in deploy/system.toml as well; outside of the platform's own ports.
+METRICS_PORT = 9464
+KINDS = FeedKinds(RULES_KIND, decode_rules, SERVERS_KIND, decode_servers)
+
+
+def settings_path() -> Path:
+    """Return the path of the platform's settings file."""
+    return Path(os.environ.get(SETTINGS_VARIABLE, "/etc/citronwood/node.conf"))
+
+
+def main() -> int:
+    """Run until a signal to stop arrives."""
+    path = settings_path()
+    try:
+        settings = load_settings(path)
+    except SettingsError as error:
+        for finding in error.findings:
+            print(f"citronwood: {path}: {finding}", file=sys.stderr)
+        return EXIT_CODE_INVALID
+    handler = configure_logs("json", "info", vm=settings.name)
+    try:
+        uvloop.run(_run(settings, path))
+    finally:
+        handler.close()
+    return 0
+
+
+async def _run(settings: NodeSettings, path: Path) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    loop.add_signal_handler(signal.SIGINT, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, path)
+    log_state(log, "process", "started", f"entry: {settings.name} starts")
+    metrics = Metrics()
+    store_address = f"{settings.store.host}:{settings.store.port}"
+    async with HttpObjectStore(store_address, metrics) as store:
+        node = RelayNode(
+            RelayOptions(
+                settings.name,
+                settings.failure_domain,
+                settings.callers.host,
+                settings.first_inner_port,
+            ),
+            store,
+            KINDS,
+            connect,
+            HttpPromotion(settings.promotions),
+            metrics,
+        )
+        readiness = Readiness(
+            lambda: node.is_ready and not stopping.is_set(), settings.readiness
+        )
+        await readiness.start()
+        await node.start()
+        callers = CallerListener(node, settings.callers, metrics)
+        await callers.start()
+        metrics_page = MetricsServer(metrics, settings.callers.host, METRICS_PORT)
+        await metrics_page.start()
+        # What lives as long as the process need not be looked at by the collector.
+        gc.collect()
+        gc.freeze()
+        await stopping.wait()
+        log_state(log, "process", "stopping", f"entry: {settings.name} stops")
+        await callers.stop(settings.grace_s)
+        await node.close()
+        await metrics_page.stop()
+        await readiness.close()
+    log_state(log, "process", "stopped", f"entry: {settings.name} has stopped")
+
+
+def _reload(path: Path) -> None:
+    """Check changed settings; the addresses in use stay until the next start."""
+    try:
+        load_settings(path)
+    except SettingsError as error:
+        log_state(log, "settings", "invalid", f"entry: not reloaded: {error}")
+        return
+    log_state(log, "settings", "reloaded", "entry: the settings were read again")
