Split the following of feeds from the VM of the relay

Change: FeedFollower in relay/follower.py keeps the feeds up to date; Reports gets the VM as ReportingVm, a Protocol. Behaviour is as before.

--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -2,19 +2,14 @@
 
 import asyncio
 import logging
-import random
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
-from citronwood.deadline import deadline_in, until
+from citronwood.deadline import deadline_in
 from citronwood.decisions import log_state
 from citronwood.errors import (
-    CallFailedError,
-    DeadlineExceededError,
     MessageError,
-    PeerUnavailableError,
-    PlatformError,
 )
 from citronwood.inner.rpc import Caller, Rpc
 from citronwood.metrics import Metrics
@@ -23,12 +18,11 @@
 from citronwood.relay.clock import now
 from citronwood.relay.failover import Failover, Promotion
 from citronwood.relay.feeds import Feed
+from citronwood.relay.follower import FeedFollower
 from citronwood.relay.grantors import choose_deputies
 from citronwood.relay.leadership import Leadership, decode_state, encode_state
 from citronwood.relay.messages import (
-    AskFeed,
     AskReachable,
-    FeedAnswer,
     FenceGroup,
     GroupFenced,
     LeaderAnswer,
@@ -50,17 +44,10 @@
 
 log = logging.getLogger(__name__)
 
-CALL_S = 0.8
-RETRY_S = 0.3
-# Share of the leader or a deputy in the time until a change is in force on all VMs.
-POLL_S = 0.6
-# When no VM that is heard has read the store for so long, a VM reads it itself.
-SOURCE_OLD_S = 1.8
 # Reads a second of all VMs together, of each kind, while neither the leader nor a
 # deputy can tell them of the store; 2 % of what the store of 18 VMs answers.
 FLEET_READS_PER_S = 40.0
 MAX_AGE_MS = 3_600_000
-FETCH_S = 0.6
 # Number of VMs to share limits with while the true one is not known.
 ASSUMED_VMS = 100
 TIDY_INTERVAL_S = 0.4
@@ -71,21 +58,6 @@
 FENCE_WAIT_S = 0.25
 
 
-class _FeedSource(NamedTuple):
-    """Another VM that has read the store, the versions that it has, and when."""
-
-    url: str
-    versions: dict[str, int]
-    polled_at: float
-
-    def is_ahead_of(self, feeds: dict[str, Feed[Any]]) -> bool:
-        """Whether it has a newer version of a feed."""
-        return any(
-            kind in feeds and feeds[kind].version < version
-            for kind, version in self.versions.items()
-        )
-
-
 def _age_ms(since: float) -> int:
     return max(0, min(MAX_AGE_MS, int((now() - since) * 1000) + 1))
 
@@ -121,7 +93,6 @@
         metrics: Metrics,
     ) -> None:
         self._options = options
-        self._store = store
         self._metrics = metrics
         # Wall clock, so that it differs from that of earlier processes of this VM.
         self._process = time.time_ns() // 1_000_000
@@ -129,9 +100,6 @@
         self._rules: Rules | None = None
         rules = Feed(kinds.rules, kinds.decode_rules, self._take_rules)
         servers = Feed(kinds.servers, kinds.decode_servers, self._take_servers)
-        self._feeds: dict[str, Feed[Any]] = {one.kind: one for one in (rules, servers)}
-        self._source = _FeedSource("", {}, -1e9)
-        self._behind = asyncio.Event()
         self._view = PrimaryView()
         self._servers = Servers(connect, options.failure_domain)
         self._servers_known = False
@@ -147,6 +115,12 @@
             self._announce,
             self._pace,
         )
+        self._feeds = FeedFollower(
+            (rules, servers),
+            store,
+            lambda: self._leadership.is_leader,
+            self._pace,
+        )
         self._buckets = AccountBuckets(lambda: self._rules)
         self._reports = Reports(
             options.name,
@@ -155,12 +129,7 @@
             self._view,
             self._leadership,
             self._buckets,
-            self._lead_answer,
-            self._hear_leader,
-            self._store_reads,
-            self._hear_reads,
-            self._reads_are_old,
-            lambda: self._vm_count,
+            self,
         )
         self._deputies: list[str] = []
         self._allowance = Allowance(self._reports.ask, lambda: self._vm_count)
@@ -187,6 +156,11 @@
         """The newest known configuration."""
         return self._rules
 
+    @property
+    def vm_count(self) -> int:
+        """Number of VMs that share limits and connections."""
+        return self._vm_count
+
     @property
     def is_ready(self) -> bool:
         """Whether this VM can serve callers."""
@@ -209,9 +183,9 @@
         self._start_rpc(state.secret)
         # What the leader has is fetched from it, the rest from the store.
         await self._reports.report({})
-        await self._fetch_feeds()
+        await self._feeds.fetch()
         loops: list[Awaitable[None]] = [
-            self._follow_feeds(),
+            self._feeds.run(),
             self._registry.register(),
             self._reports.run(self._allowance.take_unused),
             self._registry.follow(),
@@ -239,9 +213,9 @@
         rpc.serve(ReportToLeader, self._on_report)
         rpc.serve(FenceGroup, self._on_fence)
         rpc.serve(AskReachable, self._on_ask_reachable)
-        rpc.serve(AskFeed, self._on_ask_feed)
         rpc.listen(StateChanged, self._on_state)
         self._reports.start(rpc)
+        self._feeds.start(rpc)
         rpc.start(self._url)
         self._rpc = rpc
         self._failover = Failover(
@@ -261,13 +235,14 @@
 
     async def _on_report(self, message: ReportToLeader, caller: Caller) -> LeaderAnswer:
         self._registry.heard(caller.name)
-        return self._lead_answer(caller.name, message)
+        return self.lead_answer(caller.name, message)
 
-    def _lead_answer(self, vm: str, message: ReportToLeader) -> LeaderAnswer:
+    def lead_answer(self, vm: str, message: ReportToLeader) -> LeaderAnswer:
+        """Answer a report to this VM as leader."""
         state = self._view.state
         if state is None or not self._reports.is_named_leader(state):
             self._buckets.leave(vm)
-            return LeaderAnswer(False, False, self._store_reads(), 0, {}, {}, {}, [])
+            return LeaderAnswer(False, False, self.store_reads(), 0, {}, {}, {}, [])
         # Also after the time to lead has ended, as in an outage of the store: the
         # grants of two leaders together stay below the limit, as each keeps out the
         # shares of the VMs that it does not hear.
@@ -285,7 +260,7 @@
         return LeaderAnswer(
             is_leader=self._leadership.is_leader,
             grants=True,
-            reads=self._store_reads(),
+            reads=self.store_reads(),
             vm_count=self._vm_count,
             granted=grants.granted,
             retry_ms=grants.retry_ms,
@@ -334,17 +309,15 @@
 
     # What this VM asks.
 
-    def _hear_leader(self, asked_at: float, answer: LeaderAnswer) -> None:
+    def hear_leader(self, asked_at: float, answer: LeaderAnswer) -> None:
+        """Take the number of VMs and the positions that the leader knows."""
         self._count_vms(answer.vm_count)
         for group, (term, number, age_ms) in answer.positions.items():
             self._probes.observe(group, term, number, asked_at - age_ms / 1000)
 
-    def _store_reads(self) -> StoreReads:
+    def store_reads(self) -> StoreReads:
         """Return what this VM knows of the store."""
         state = self._view.state
-        polled_at = min(feed.polled_at for feed in self._feeds.values())
-        if not self._source.is_ahead_of(self._feeds):
-            polled_at = max(polled_at, self._source.polled_at)
         return StoreReads(
             state_version=self._view.version,
             edition=0 if state is None else state.edition,
@@ -352,24 +325,21 @@
             state_age_ms=(
                 0 if self._leadership.is_leader else _age_ms(self._view.current_at)
             ),
-            feed_versions={kind: feed.version for kind, feed in self._feeds.items()},
-            feeds_age_ms=_age_ms(polled_at),
+            feed_versions=self._feeds.versions,
+            feeds_age_ms=_age_ms(self._feeds.current_at),
         )
 
-    def _hear_reads(self, url: str, asked_at: float, reads: StoreReads) -> None:
+    def hear_reads(self, url: str, asked_at: float, reads: StoreReads) -> None:
         """Take what another VM knows of the store."""
         known_at = asked_at - reads.state_age_ms / 1000
         if known_at > self._view.current_at:
             self._leadership.heard(known_at, reads.state_version, reads.edition)
         polled_at = asked_at - reads.feeds_age_ms / 1000
-        if polled_at > self._source.polled_at:
-            self._source = _FeedSource(url, reads.feed_versions, polled_at)
-            if self._source.is_ahead_of(self._feeds):
-                self._behind.set()
+        self._feeds.heard(url, reads.feed_versions, polled_at)
 
-    def _reads_are_old(self) -> bool:
+    def reads_are_old(self) -> bool:
         """Whether no VM that this one hears has read the feeds lately."""
-        return now() > self._source.polled_at + SOURCE_OLD_S
+        return self._feeds.is_source_old
 
     def _pace(self, interval_s: float) -> float:
         """Return the interval of a read of the store that others do as well."""
@@ -399,70 +369,6 @@
             return frozenset()
         return frozenset(self._rules.connection_caps)
 
-    async def _follow_feeds(self) -> None:
-        """Keep up with the store's objects, directly or through another VM."""
-        polled_at = -1e9
-        while True:
-            self._behind.clear()
-            if self._is_poll_due(polled_at):
-                polled_at = now()
-                await self._poll_feeds()
-            try:
-                async with until(deadline_in(POLL_S * random.uniform(0.9, 1.0))):
-                    await self._behind.wait()
-            except TimeoutError:
-                continue
-            await self._fetch_feeds()
-
-    def _is_poll_due(self, polled_at: float) -> bool:
-        if self._leadership.is_leader:
-            return True
-        if not self._reads_are_old():
-            return False
-        paced_s = self._pace(POLL_S)
-        return paced_s <= POLL_S or now() >= polled_at + paced_s
-
-    async def _poll_feeds(self) -> None:
-        for feed in self._feeds.values():
-            try:
-                await feed.poll(self._store, deadline_in(CALL_S))
-            except PlatformError as error:
-                log_state(log, "feed", "failed", f"platform: {error}")
-
-    async def _fetch_feeds(self) -> None:
-        """Fetch what another VM has newer, from it or else from the store."""
-        source = self._source
-        for kind, version in source.versions.items():
-            feed = self._feeds.get(kind)
-            if feed is None or feed.version >= version or self._rpc is None:
-                continue
-            try:
-                answer = await self._rpc.call(
-                    source.url, AskFeed(kind), FeedAnswer, deadline_in(FETCH_S)
-                )
-                feed.receive(answer.version, answer.objects)
-            except (
-                PeerUnavailableError,
-                DeadlineExceededError,
-                CallFailedError,
-                MessageError,
-            ) as error:
-                log_state(
-                    log, "feed", "failed", f"fleet: {kind} of another VM: {error}"
-                )
-            if feed.version >= version:
-                continue
-            try:
-                await feed.poll(self._store, deadline_in(CALL_S))
-            except PlatformError as error:
-                log_state(log, "feed", "failed", f"platform: {error}")
-
-    async def _on_ask_feed(self, message: AskFeed, _: Caller) -> FeedAnswer:
-        feed = self._feeds.get(message.kind)
-        if feed is None:
-            return FeedAnswer(0, b"{}")
-        return FeedAnswer(feed.version, feed.encode())
-
     def _take_rules(self, rules: Rules) -> None:
         if self._rules is None or rules.version > self._rules.version:
             self._rules = rules
--- a/citronwood/relay/reports.py
+++ b/citronwood/relay/reports.py
@@ -4,7 +4,7 @@
 import logging
 import random
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import Any, Protocol, TypeVar
 from urllib.parse import urlsplit
 
 from citronwood.deadline import deadline_in, until
@@ -54,6 +54,35 @@
     return False
 
 
+class ReportingVm(Protocol):
+    """What reports need of the VM that sends and answers them."""
+
+    @property
+    def vm_count(self) -> int:
+        """Number of VMs, which share the leader's time."""
+        ...
+
+    def lead_answer(self, vm: str, message: ReportToLeader) -> LeaderAnswer:
+        """Answer a report to this VM as leader."""
+        ...
+
+    def hear_leader(self, asked_at: float, answer: LeaderAnswer) -> None:
+        """Take the answer of the leader to a report sent at this time."""
+        ...
+
+    def store_reads(self) -> StoreReads:
+        """Return what this VM knows of the store."""
+        ...
+
+    def hear_reads(self, url: str, asked_at: float, reads: StoreReads) -> None:
+        """Take what the VM at an address knows of the store."""
+        ...
+
+    def reads_are_old(self) -> bool:
+        """Whether no VM that this one hears has read the store lately."""
+        ...
+
+
 class Reports:
     """Reports to the leader, and to its deputies while it does not answer.
 
@@ -63,19 +92,8 @@
         This VM, its process and its address for others.
     buckets : AccountBuckets
         From which this VM grants operations as leader or deputy.
-    lead_answer : callable
-        Answers a report to this VM as leader.
-    on_answer : callable
-        Called with the time of a report and the answer of the leader.
-    reads : callable
-        Returns what this VM knows of the store.
-    on_reads : callable
-        Called with the address of another VM, the time at which it was asked, and what
-        it knows of the store.
-    reads_are_old : callable
-        Tells whether the leader has not read the store lately.
-    vm_count : callable
-        Returns the number of VMs, which share the leader's time.
+    vm : ReportingVm
+        This VM's knowledge and its part as leader.
     """
 
     def __init__(
@@ -86,12 +104,7 @@
         view: PrimaryView,
         leadership: Leadership,
         buckets: AccountBuckets,
-        lead_answer: Callable[[str, ReportToLeader], LeaderAnswer],
-        on_answer: Callable[[float, LeaderAnswer], None],
-        reads: Callable[[], StoreReads],
-        on_reads: Callable[[str, float, StoreReads], None],
-        reads_are_old: Callable[[], bool],
-        vm_count: Callable[[], int],
+        vm: ReportingVm,
     ) -> None:
         self._name = name
         self._process = process
@@ -99,12 +112,7 @@
         self._view = view
         self._leadership = leadership
         self._buckets = buckets
-        self._lead_answer = lead_answer
-        self._on_answer = on_answer
-        self._reads = reads
-        self._on_reads = on_reads
-        self._reads_are_old = reads_are_old
-        self._vm_count = vm_count
+        self._vm = vm
         self._grantors = GrantorChoice()
         self._rpc: Rpc | None = None
         self._failed = asyncio.Event()
@@ -131,7 +139,7 @@
     async def run(self, take_unused: Callable[[], dict[str, int]]) -> None:
         """Report for ever; ``take_unused`` returns grants that were not used."""
         while True:
-            interval_s = max(REPORT_INTERVAL_S, self._vm_count() / REPORTS_PER_S)
+            interval_s = max(REPORT_INTERVAL_S, self._vm.vm_count / REPORTS_PER_S)
             try:
                 async with until(deadline_in(interval_s * random.uniform(0.9, 1.1))):
                     await self._failed.wait()
@@ -158,7 +166,7 @@
         if not lends and self._grantors.lent_to:
             # The shares go back to the leader with the next question.
             await self._leave_deputy(self._grantors.lent_to)
-        if self._reads_are_old():
+        if self._vm.reads_are_old():
             await self._ask_for_reads()
 
     async def ask(
@@ -190,16 +198,16 @@
         asked_at = now()
         answer: LeaderAnswer | None
         if self.is_named_leader(state):
-            answer = self._lead_answer(self._name, message)
+            answer = self._vm.lead_answer(self._name, message)
         else:
             answer = await self._call(url, message, LeaderAnswer)
             if answer is None:
                 self._grantors.leader_silent(url)
                 self._check_ended(url, state)
                 return None
-            self._on_reads(url, asked_at, answer.reads)
+            self._vm.hear_reads(url, asked_at, answer.reads)
             if answer.is_leader:
-                self._on_answer(asked_at, answer)
+                self._vm.hear_leader(asked_at, answer)
         self._grantors.answered(url)
         if not lends or not answer.grants:
             self._grantors.returned(url)
@@ -241,7 +249,7 @@
             self._check_ended(url, None)
             return None
         self._grantors.answered(url)
-        self._on_reads(url, asked_at, answer.reads)
+        self._vm.hear_reads(url, asked_at, answer.reads)
         return answer
 
     async def _on_ask_deputy(self, message: AskDeputy, caller: Caller) -> DeputyAnswer:
@@ -250,7 +258,7 @@
             grants = self._buckets.grant(caller.name, message.wanted, message.unused)
         else:
             self._buckets.leave(caller.name)
-        return DeputyAnswer(grants.granted, grants.retry_ms, self._reads())
+        return DeputyAnswer(grants.granted, grants.retry_ms, self._vm.store_reads())
 
     async def _call(
         self, url: str, message: Any, answer_type: type[_Answer]
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -52,7 +52,8 @@
         )
 
     def use_store(self, store):
-        for part in (self.node, self.node._leadership, self.node._registry):
+        node = self.node
+        for part in (node._feeds, node._leadership, node._registry):
             part._store = store
 
     def cut_off(self, other):
@@ -256,8 +257,7 @@
         other = next(vm for vm in vms if vm is not leader)
         refusing = MemoryStore()
         refusing.away = True
-        leader.node._store = refusing
-        leader.node._leadership._store = refusing
+        leader.use_store(refusing)
         loop = asyncio.get_running_loop()
         started = loop.time()
         store.place("config", "main", configuration(version=2, keys=["key-2"]))
@@ -462,9 +462,9 @@
     async def scenario(vms, store, group):
         leader = next(vm for vm in vms if vm.node._leadership.is_leader)
         report = ReportToLeader(1, {"acme": 5}, {}, True)
-        assert leader.node._lead_answer("vm", report).granted == {"acme": 5}
+        assert leader.node.lead_answer("vm", report).granted == {"acme": 5}
         leader.node._reports._process += 1
-        answer = leader.node._lead_answer("vm", report)
+        answer = leader.node.lead_answer("vm", report)
         assert not answer.grants
         assert answer.granted == {}
 
--- a/tests/test_relay_grantors.py
+++ b/tests/test_relay_grantors.py
@@ -62,16 +62,25 @@
             self.view,
             Leadership(),
             self.buckets,
-            self.lead_answer,
-            lambda asked_at, answer: None,
-            lambda: READS,
-            lambda url, asked_at, reads: None,
-            lambda: False,
-            lambda: VMS,
+            self,
         )
         self.reports.start(self)
         self.allowance = Allowance(self.reports.ask, lambda: VMS)
 
+    vm_count = VMS
+
+    def hear_leader(self, asked_at, answer):
+        return
+
+    def store_reads(self):
+        return READS
+
+    def hear_reads(self, url, asked_at, reads):
+        return
+
+    def reads_are_old(self):
+        return False
+
     def serve(self, message_type, handler):
         self.on_ask_deputy = handler
 
