Ask a former leader that is named as a deputy

Cause: a VM that gave no answer as leader counted as silent until it answered as leader, also after its successor had named it as a deputy. Found by reading. Change: naming it ends that; pauses of deputies are kept.

--- a/citronwood/relay/grantors.py
+++ b/citronwood/relay/grantors.py
@@ -69,9 +69,11 @@
     def name_deputies(self, urls: list[str]) -> None:
         """Take the deputies that the leader has named."""
         self._deputies = tuple(urls)
-        kept = {*urls, self._lent_to}
+        # A former leader is waited for again once it is named as a deputy.
         self._silent_until = {
-            url: time for url, time in self._silent_until.items() if url in kept
+            url: time
+            for url, time in self._silent_until.items()
+            if url == self._lent_to or (url in urls and time < math.inf)
         }
 
     def choose(self, leader: str) -> str:
--- a/tests/test_relay_grantors.py
+++ b/tests/test_relay_grantors.py
@@ -339,3 +339,13 @@
     assert not choice.may_lend_to("leader")
     choice.returned("d1")
     assert choice.choose("leader") == "leader"
+
+
+def test_former_leader_is_asked_as_a_deputy(monkeypatch):
+    # Guards against a deputy that is never asked because it gave no answer as leader.
+    monkeypatch.setattr(grantors_module, "now", lambda: 100.0)
+    choice = GrantorChoice()
+    choice.leader_silent("former")
+    assert choice.choose("former") == ""
+    choice.name_deputies(["former", "d2"])
+    assert choice.choose("") == "former"
