--- a/citronwood/errors.py
+++ b/citronwood/errors.py
@@ -89,10 +89,6 @@
     """The platform's store holds no object of this name."""
 
 
-class HistoryLostError(PlatformError):
-    """The platform's store does not know the changes since a version any more."""
-
-
 class NotLeaderError(PlatformError):
     """The VM does not lead, or not any more."""
 
--- a/citronwood/platform/api.py
+++ b/citronwood/platform/api.py
@@ -65,15 +65,6 @@
         """Return all objects of a kind; ``stale_ok`` accepts data seconds old."""
         ...
 
-    async def watch_objects(
-        self, kind: str, known: Listing, deadline: float
-    ) -> Listing:
-        """Return the objects after the next changes, or unchanged at the deadline.
-
-        Raises ``HistoryLostError`` when the changes since are not known any more.
-        """
-        ...
-
 
 class PlatformClient(Protocol):
     """Objects with versions, watches and the list of VMs.
--- a/citronwood/platform/objects.py
+++ b/citronwood/platform/objects.py
@@ -12,7 +12,6 @@
 from citronwood.deadline import deadline_in, time_left
 from citronwood.decisions import log_state
 from citronwood.errors import (
-    HistoryLostError,
     ObjectNotFoundError,
     PlatformError,
     PlatformUnavailableError,
@@ -23,10 +22,6 @@
 
 log = logging.getLogger(__name__)
 
-# A watch is answered this long before the caller's deadline, so that a silent store can
-# be told from objects that do not change.
-WATCH_GRACE_S = 1.0
-MAX_WATCH_MS = 30_000
 # Time kept back for finding out what became of an update whose answer was lost.
 SETTLE_S = 0.3
 MAX_PAGES = 1000
@@ -52,16 +47,6 @@
     more: bool = False
 
 
-class _Event(msgspec.Struct):
-    object: _Object
-    removed: bool = False
-
-
-class _Events(msgspec.Struct):
-    events: list[_Event]
-    store_revision: int
-
-
 class _Response(NamedTuple):
     status: int
     body: bytes
@@ -154,7 +139,7 @@
         """Return all objects of a kind."""
         objects: dict[str, Versioned] = {}
         query = {"stale_ok": "1"} if stale_ok else {}
-        # Changes between pages are seen by a watch from the first page's version.
+        # The first page's version, so that the next list finds changes between pages.
         version = None
         for _ in range(MAX_PAGES):
             response = await self._call("GET", kind, deadline, query=query)
@@ -168,28 +153,6 @@
             query["after"] = page.items[-1].meta.name
         raise PlatformError(f"{kind} has more than {MAX_PAGES} pages")
 
-    async def watch_objects(
-        self, kind: str, known: Listing, deadline: float
-    ) -> Listing:
-        """Return the objects after the next changes, or unchanged at the deadline."""
-        wait_ms = int(max(0.0, time_left(deadline) - WATCH_GRACE_S) * 1000)
-        query = {
-            "watch": str(known.version),
-            "wait_ms": str(min(MAX_WATCH_MS, wait_ms)),
-        }
-        response = await self._call("GET", kind, deadline, query=query)
-        if response.status == 410:
-            raise HistoryLostError(f"{kind}: changes since {known.version} are gone")
-        found = self._decode(response, _Events)
-        objects = dict(known.objects)
-        for event in found.events:
-            name = event.object.meta.name
-            if event.removed or event.object.meta.deleting:
-                objects.pop(name, None)
-            else:
-                objects[name] = _versioned(event.object)
-        return Listing(objects, found.store_revision)
-
     async def _settle(
         self,
         kind: str,
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -95,10 +95,6 @@
     return vm.node._view.primary_of("orders")
 
 
-def has_new_primary(vms):
-    return all(primary(vm) not in (None, "orders-0") for vm in vms)
-
-
 def run(scenario, **options):
     async def with_fleet():
         async with fleet(**options) as (vms, store, group):
