Measure a seat's grace time anew after each return of its holder

A holder that took its seat again and lost it a second time between two looks was not noticed, so the seat was taken too early and the holder's transactions ended.

Change: the waiting gateway marks a free seat with a named lock, and keeps its connection open while the seat is reserved. A holder that takes its seat again ends the connection that holds the mark; a missing or foreign mark starts the grace time anew. The mark counts only if the seat is still free after it was set, so a return in between is not missed.

--- a/citronwood/backend/member.py
+++ b/citronwood/backend/member.py
@@ -199,7 +199,15 @@
                 connection, "SHOW GROUP STATUS", RESPONSE_TIMEOUT_S
             )
             self._set_reachable(True, "")
-            while await self.seat.ensure_held(connection):
+            while True:
+                if not await self.seat.ensure_held(connection):
+                    if not self.seat.is_reserved:
+                        return
+                    await asyncio.sleep(NO_SEAT_RETRY_S)
+                    status = await self._query_status(
+                        connection, "SHOW GROUP STATUS", RESPONSE_TIMEOUT_S
+                    )
+                    continue
                 wait_s = self._long_poll_s(status)
                 status = await self._query_status(
                     connection,
--- a/citronwood/backend/seats.py
+++ b/citronwood/backend/seats.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 from hashlib import sha256
 from time import monotonic
+from typing import NamedTuple
 
 from asyncmy.errors import MySQLError
 
@@ -55,6 +56,17 @@
     return max(1, seat_connections(group) - CONTROL_CONNECTIONS - RESERVE_CONNECTIONS)
 
 
+class _Absence(NamedTuple):
+    """Time since which a seat is free without interruption.
+
+    ``marked_by`` is the connection that holds the lock marking the absence. The holder
+    kills that connection when it takes its seat again.
+    """
+
+    marked_by: int
+    since: float
+
+
 class Seat:
     """Seat of this gateway on one member.
 
@@ -81,7 +93,7 @@
         self._holder_id = 0
         self._held = False
         self._denied = False
-        self._free_since: dict[int, float] = {}
+        self._absences: dict[int, _Absence] = {}
         self.slot_count = 1
         self.own_connections: Callable[[], set[int]] = set
 
@@ -95,6 +107,15 @@
         """Whether no seat was free at the last attempt to take one."""
         return self._denied
 
+    @property
+    def is_reserved(self) -> bool:
+        """Whether a seat was free but reserved for its last holder at the last attempt.
+
+        The connection of that attempt must stay open until the next one, because it
+        may mark since when the seat is free.
+        """
+        return bool(self._absences)
+
     def own_slot_lock_name(self, slot: int) -> str:
         """Return the lock name of a slot of this gateway's seat."""
         return self._slot_lock_name(self._number or 0, slot)
@@ -115,6 +136,10 @@
         """Return the name of the lock that shows which VM holds a seat."""
         return f"{self.prefix}.vm.{_short_hash(vm)}"
 
+    def _absence_lock_name(self, number: int) -> str:
+        """Return the name of the lock that marks a seat as free."""
+        return f"{self.prefix}.free{number}"
+
     def mark_lost(self) -> None:
         """Record that the polling connection, and with it the seat lock, is lost."""
         self._held = False
@@ -133,7 +158,7 @@
         for number in numbers:
             if await self._try_take_seat(connection, number):
                 self._number, self._held, self._denied = number, True, False
-                self._free_since.clear()
+                self._absences.clear()
                 self._holder_id = connection.connection_id
                 await _get_lock(connection, self._vm_lock_name(self._vm_name))
                 return True
@@ -150,7 +175,7 @@
         if holder is not None and holder != connection.connection_id:
             is_own = number == self._number and holder == self._holder_id
             if not is_own and not await self._has_holder_failed(connection, holder):
-                self._free_since.pop(number, None)
+                self._absences.pop(number, None)
                 return False
             await _kill_connection(connection, holder)
         elif number != self._number and await self._may_holder_return(
@@ -161,6 +186,7 @@
         # gateway could take the seat as well and kill the new connections.
         if not await _get_lock(connection, lock):
             return False
+        await self._end_absence(connection, number)
         await self._kill_old_connections(connection, number)
         return True
 
@@ -194,9 +220,39 @@
         all of its connections would have been closed together.
         """
         if not await self._slot_owners(connection, number):
+            self._absences.pop(number, None)
             return False
-        since = self._free_since.setdefault(number, monotonic())
-        return monotonic() - since < RETURN_GRACE_S
+        marked_by = await self._mark_absence(connection, number)
+        if marked_by is None:
+            self._absences.pop(number, None)
+            return True
+        absence = self._absences.get(number)
+        if absence is None or absence.marked_by != marked_by:
+            absence = self._absences[number] = _Absence(marked_by, monotonic())
+        return monotonic() - absence.since < RETURN_GRACE_S
+
+    async def _mark_absence(
+        self, connection: BackendConnection, number: int
+    ) -> int | None:
+        """Mark a free seat; return the connection that holds the mark.
+
+        Returns None if another gateway changes the mark or the holder has returned.
+        """
+        mark = self._absence_lock_name(number)
+        owner = (await _lock_owners(connection, [mark]))[0]
+        if owner is not None:
+            return owner
+        if not await _get_lock(connection, mark):
+            return None
+        # A holder that returned before the mark was set has not seen it.
+        holder = (await _lock_owners(connection, [self.seat_lock_name(number)]))[0]
+        return connection.connection_id if holder is None else None
+
+    async def _end_absence(self, connection: BackendConnection, number: int) -> None:
+        """Remove the mark of another gateway, for which the seat was free."""
+        owner = (await _lock_owners(connection, [self._absence_lock_name(number)]))[0]
+        if owner is not None and owner != connection.connection_id:
+            await _kill_connection(connection, owner)
 
     async def _slot_owners(
         self, connection: BackendConnection, number: int
