Do not use a draining server as the lasting primary of a group

Change: such a server is promoted only so that the others can receive the rest of the log from it. The group stays blocked until a server that is not draining has been promoted after it; two promotions at most.

Test: test_draining_server_with_the_longest_log_is_replaced_before_it_is_used fails without the change (the draining server runs a caller's write) and passes with it. Ruled out: late lists of servers (all VMs knew that it was draining at 4.2 s).

--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -64,6 +64,8 @@
 # The promote call must end this long before this VM's lease as leader does.
 LEADERSHIP_MARGIN_S = 0.1
 STEP_DOWN_TIMEOUT_S = 8.0
+# Promotions in one change: of a draining server with the longest log, then of another.
+MAX_PROMOTIONS = 2
 
 
 class Promotion(Protocol):
@@ -238,12 +240,7 @@
     async def _replace_primary(self, group: str, current: GroupState) -> None:
         written_at = now()
         await self._fence_all_vms(group, current, written_at)
-        successor = await self._find_promoted(group, current)
-        if successor is None:
-            successor = await self._promote_successor(group, current)
-        new = GroupState(
-            successor[0], max(successor[1], current.term), False, current.change
-        )
+        new = await self._promote_lasting(group, current)
         await self._write_group(group, new)
         log_state(
             log,
@@ -264,6 +261,39 @@
             self._step_down_tasks.add(task)
             task.add_done_callback(self._step_down_tasks.discard)
 
+    async def _promote_lasting(self, group: str, current: GroupState) -> GroupState:
+        """Promote a server that is not about to leave; return the group's new state.
+
+        A draining server that has received more of the log than the others is promoted
+        first, so that the others can receive the rest from it. No statement is sent to
+        it, because the group stays blocked until its successor leads.
+        """
+        for _ in range(MAX_PROMOTIONS):
+            successor = await self._find_promoted(group, current)
+            if successor is None:
+                successor = await self._promote_successor(group, current)
+            primary, term = successor
+            current = current._replace(primary=primary, term=max(term, current.term))
+            others = self._replacements(group, primary)
+            if not self._is_draining(primary) or all(
+                other.draining for other in others
+            ):
+                break
+            log_state(
+                log,
+                "primary_change",
+                "continued",
+                f"group: {group}: {primary} leads until its successor has its log, "
+                "because it is draining",
+                group=group,
+                term=current.term,
+            )
+        return current._replace(changing=False)
+
+    def _is_draining(self, server: str) -> bool:
+        pool = self._servers.get(server)
+        return pool is not None and pool.server.draining
+
     async def _write_group(self, group: str, new: GroupState) -> None:
         await self._leadership.change_groups(lambda old: {**old, group: new})
 
--- a/tests/relay_standins.py
+++ b/tests/relay_standins.py
@@ -233,6 +233,7 @@
             self.term += 1
             for server in self.servers:
                 server.is_primary = server is chosen
+                server.missing_writes = 0
         return True
 
 
@@ -245,6 +246,8 @@
         self.is_primary = False
         self.running = False
         self.is_behind = False
+        # Number of the group's last writes that this server has not received.
+        self.missing_writes = 0
         # Instead of answering the next ``answers_to_lose`` statements of callers, the
         # server executes them and closes the connection.
         self.answers_to_lose = 0
@@ -313,7 +316,7 @@
             writer.write((result + state).encode())
 
     def _position(self):
-        return f"{self.group.term}.{self.group.number}"
+        return f"{self.group.term}.{self.group.number - self.missing_writes}"
 
     def _run(self, session, text):
         if text == "STATUS" or text.startswith("STEPDOWN"):
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -355,6 +355,33 @@
     run(scenario)
 
 
+def test_draining_server_with_the_longest_log_is_replaced_before_it_is_used():
+    # Guards against statements at a server that is about to leave: a primary was cut
+    # off while the replica with the longest log was draining.
+    async def scenario(vms, store, group):
+        primary_server, draining, other = group.servers
+        caller = await Caller.connect(vms[0].port)
+        await caller.execute("WRITE x 1")
+        other.missing_writes = 1
+        entry = {**draining.entry(), "state": "draining"}
+        store.put_directly("servers", draining.id, entry)
+        await eventually(
+            lambda: all(vm.node._servers.get(draining.id).server.draining for vm in vms)
+        )
+        await primary_server.stop()
+        async with asyncio.timeout(10):
+            while not (await caller.execute("WRITE x 2"))[0][0].startswith("DONE"):
+                continue
+        assert [promoted for _, promoted, _, _ in group.promotions] == [
+            draining.id,
+            other.id,
+        ]
+        assert all(primary(vm) == other.id for vm in vms)
+        assert all(request_id == "-" for request_id, _ in draining.statements)
+
+    run(scenario)
+
+
 def test_primary_that_fails_is_replaced():
     async def scenario(vms, store, group):
         caller = await Caller.connect(vms[1].port)
