Let all VMs know the list of VMs; keep probe connections few

Cause: a new leader that was no deputy had never read the list of VMs, so its state reached nobody by notification, and each VM found it with its own read of the store, up to 4.9 s apart with 195 VMs. Probes kept one connection per VM and server for the life of the process, and before a silent primary was replaced, all VMs were asked to connect to it: with 195 VMs more than a server's 180 connections.

Change: the list of VMs, with their failure domains, is a feed that the leader reads and the others fetch; a new leader notifies the VMs of the feed. Feeds are compressed between VMs. Probe connections end after 3 s without a request, and 15 VMs at most are asked whether they reach a silent primary.

--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -45,6 +46,9 @@
 # A primary that gave no status but answered this VM within this time, for example that
 # it is busy, does not count as silent.
 RECENT_ANSWER_S = 0.8
+# Each VM that is asked opens a connection to the server, which has fewer connections
+# than a large fleet has VMs.
+MAX_WITNESSES = 15
 # Time that another VM has to probe the primary. The call to that VM has 0.2 s more.
 PEER_PROBE_TIMEOUT_S = 0.4
 FENCE_CALL_TIMEOUT_S = 0.8
@@ -214,6 +218,7 @@
     async def _is_reachable_by_others(self, server: str) -> bool:
         """Whether at least half of the VMs that answer and know the server reach it."""
         vms = [peer for peer in await self._list_vms() if peer.name != self._name]
+        vms = random.sample(vms, min(MAX_WITNESSES, len(vms)))
         answers = await asyncio.gather(*(self._ask_reachable(vm, server) for vm in vms))
         votes = [vote for vote in answers if vote is not None]
         return bool(votes) and sum(votes) * 2 >= len(votes)
--- a/citronwood/relay/feeds.py
+++ b/citronwood/relay/feeds.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import zlib
 from collections.abc import Callable
 from typing import Any, Generic, TypeVar
 
@@ -19,6 +20,9 @@
 
 log = logging.getLogger(__name__)
 
+# Objects of one kind, decompressed. The store's objects have 1 MiB each at most.
+MAX_CONTENT_BYTES = 64 << 20
+
 _Content = TypeVar("_Content")
 # (version, value) by object name.
 _Values = dict[str, tuple[int, dict[str, Any]]]
@@ -35,6 +39,9 @@
         Decodes the objects; returns None when they are not usable.
     on_content : callable
         Called with the decoded content whenever it changes.
+    read_by_all : bool
+        Whether a VM that hears of no newer read reads this kind itself. Other kinds are
+        read by the leader and the deputies alone.
     """
 
     def __init__(
@@ -42,14 +49,17 @@
         kind: str,
         decode: Callable[[Listing], _Content | None],
         on_content: Callable[[_Content], None],
+        read_by_all: bool = True,
     ) -> None:
         self.kind = kind
+        self.read_by_all = read_by_all
         self._decode = decode
         self._on_content = on_content
         self._version = 0
         self._content: _Content | None = None
         self._objects: dict[str, VersionedObject] = {}
         self._polled_at = -1e9
+        self._encoded: bytes | None = None
 
     @property
     def polled_at(self) -> float:
@@ -68,12 +78,18 @@
         self._polled_at = asked_at
 
     def encode(self) -> bytes:
-        """Encode the objects to send them to other VMs."""
-        values = {
-            name: (stored.version, stored.value)
-            for name, stored in self._objects.items()
-        }
-        return msgspec.json.encode(values)
+        """Encode the objects to send them to other VMs.
+
+        They are compressed, because all VMs of a large fleet that start together fetch
+        them from one VM with a slow link.
+        """
+        if self._encoded is None:
+            values = {
+                name: (stored.version, stored.value)
+                for name, stored in self._objects.items()
+            }
+            self._encoded = zlib.compress(msgspec.json.encode(values))
+        return self._encoded
 
     def receive(self, version: int, data: bytes) -> None:
         """Update from objects encoded by another VM; raises ``MessageError``."""
@@ -81,9 +97,9 @@
             return
         try:
             values = msgspec.json.decode(
-                data, type=dict[str, tuple[int, dict[str, Any]]]
+                _decompress(data), type=dict[str, tuple[int, dict[str, Any]]]
             )
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, zlib.error) as error:
             raise MessageError("malformed", str(error)) from None
         objects = {
             name: VersionedObject(stored[1], stored[0])
@@ -111,4 +127,13 @@
         self._version = listing.version
         self._content = content
         self._objects = listing.objects
+        self._encoded = None
         self._on_content(content)
+
+
+def _decompress(data: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    content = decompressor.decompress(data, MAX_CONTENT_BYTES)
+    if decompressor.unconsumed_tail:
+        raise MessageError("oversized", "content of a feed")
+    return content
--- a/citronwood/relay/follower.py
+++ b/citronwood/relay/follower.py
@@ -75,20 +75,26 @@
     @property
     def current_at(self) -> float:
         """Latest time at which the feeds are known to have matched the store."""
-        polled_at = min(feed.polled_at for feed in self._feeds.values())
-        return polled_at if self._is_behind else max(polled_at, self._source.polled_at)
+        polled_at = min(
+            feed.polled_at for feed in self._feeds.values() if feed.read_by_all
+        )
+        if any(feed.read_by_all for feed in self._outdated()):
+            return polled_at
+        return max(polled_at, self._source.polled_at)
 
     @property
     def is_source_stale(self) -> bool:
         """Whether no VM in contact with this one has read the store lately."""
         return now() > self._source.polled_at + SOURCE_STALE_S
 
-    @property
-    def _is_behind(self) -> bool:
-        return any(
-            kind in self._feeds and self._feeds[kind].version < version
-            for kind, version in self._source.versions.items()
-        )
+    def _outdated(self) -> list[Feed[Any]]:
+        """Return the feeds of which another VM has a newer version."""
+        versions = self._source.versions
+        return [
+            feed
+            for kind, feed in self._feeds.items()
+            if feed.version < versions.get(kind, 0)
+        ]
 
     def start(self, rpc: Rpc) -> None:
         """Start to serve and make calls between VMs."""
@@ -99,7 +105,7 @@
         """Record the versions that another VM found in the store at ``polled_at``."""
         if polled_at > self._source.polled_at:
             self._source = _Source(url, versions, polled_at)
-            if self._is_behind:
+            if self._outdated():
                 self._behind.set()
 
     async def run(self) -> None:
@@ -110,7 +116,8 @@
             if self._is_poll_due(polled_at):
                 polled_at = now()
                 for feed in self._feeds.values():
-                    await self._poll(feed)
+                    if feed.read_by_all or self._is_leader():
+                        await self._poll(feed)
             try:
                 async with timeout_at(
                     deadline_in(POLL_INTERVAL_S * random.uniform(0.9, 1.0))
@@ -123,12 +130,9 @@
     async def fetch(self) -> None:
         """Fetch newer versions from the VM that has them, or else from the store."""
         source = self._source
-        for kind, version in source.versions.items():
-            feed = self._feeds.get(kind)
-            if feed is None or feed.version >= version:
-                continue
+        for feed in self._outdated():
             await self._fetch_from(source.url, feed)
-            if feed.version < version:
+            if feed.version < source.versions[feed.kind] and feed.read_by_all:
                 await self._poll(feed)
 
     def _is_poll_due(self, polled_at: float) -> bool:
@@ -164,5 +168,5 @@
     async def _on_ask_feed(self, message: AskFeed, _: Caller) -> FeedAnswer:
         feed = self._feeds.get(message.kind)
         if feed is None:
-            return FeedAnswer(0, b"{}")
+            return FeedAnswer(0, b"")
         return FeedAnswer(feed.version, feed.encode())
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -33,7 +33,7 @@
 )
 from citronwood.relay.model import BackendServer, Rules
 from citronwood.relay.probes import STATUS_TIMEOUT_S, Probes
-from citronwood.relay.registry import VmRegistry
+from citronwood.relay.registry import VM_KIND, Peer, VmRegistry, decode_peers
 from citronwood.relay.reports import Reports, has_ended
 from citronwood.relay.routing import SessionContext
 from citronwood.relay.servers import Servers
@@ -117,8 +117,10 @@
             self._broadcast_state,
             self._scale_interval,
         )
+        peers = Feed(VM_KIND, decode_peers, self._apply_peers, read_by_all=False)
+        self._peers: tuple[Peer, ...] = ()
         self._feeds = FeedFollower(
-            (rules, servers),
+            (rules, servers, peers),
             store,
             lambda: self._leadership.is_leader,
             self._scale_interval,
@@ -143,6 +145,7 @@
             self._leadership,
             options.name,
             self._url,
+            options.failure_domain,
             self._set_vm_count,
             self._on_registered,
             lambda: self._reports.is_deputy,
@@ -313,9 +316,11 @@
         if self._rpc is None:
             return
         message = StateChanged(version, encode_state(state))
-        for vm in self._registry.vms:
-            if vm.name != self._options.name:
-                self._rpc.notify(vm.url, message)
+        # A new leader has not read the list of VMs yet, but knows the feed.
+        urls = {vm.url for vm in self._registry.vms}
+        urls.update(peer.url for peer in self._peers)
+        for url in urls - {self._url}:
+            self._rpc.notify(url, message)
 
     # Knowledge shared between VMs.
 
@@ -393,6 +398,9 @@
                 version=rules.version,
             )
 
+    def _apply_peers(self, peers: tuple[Peer, ...]) -> None:
+        self._peers = peers
+
     def _apply_servers(self, servers: list[BackendServer]) -> None:
         listed = {entry.id: entry for entry in servers}
         time_now = now()
@@ -424,6 +432,7 @@
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self._drop_missing()
             self._servers.maintain()
+            self._probes.close_idle()
             self._deputies = choose_deputies(
                 self._registry.vms, self._buckets.lenders - {self._options.name}
             )
--- a/citronwood/relay/probes.py
+++ b/citronwood/relay/probes.py
@@ -20,6 +20,9 @@
 RELAY_ACCOUNT = "-"
 # Under a usual load, a server answers within some tens of milliseconds.
 STATUS_TIMEOUT_S = 0.4
+# Probe connections that were idle for longer are closed: a server has fewer connections
+# than a large fleet has VMs.
+IDLE_TIMEOUT_S = 3.0
 
 
 class Probe(NamedTuple):
@@ -43,6 +46,7 @@
         self._positions: dict[str, GroupPositions] = {}
         self._refreshing: dict[str, asyncio.Task[None]] = {}
         self._answered_at: dict[str, float] = {}
+        self._requested_at: dict[str, float] = {}
 
     def positions(self, group: str) -> GroupPositions:
         """Return the known positions of a group."""
@@ -79,6 +83,18 @@
         """Record a position that another VM has read."""
         self.positions(group).observe(Position(term, number), asked_at)
 
+    def close_idle(self) -> None:
+        """Close connections that were idle for too long."""
+        cutoff = now() - IDLE_TIMEOUT_S
+        for server, connection in list(self._connections.items()):
+            if (
+                self._requested_at.get(server, cutoff) <= cutoff
+                and not self._locks[server].locked()
+            ):
+                connection.abort()
+                del self._connections[server]
+                self._requested_at.pop(server, None)
+
     def close(self) -> None:
         """Close all connections."""
         for connection in self._connections.values():
@@ -109,7 +125,7 @@
                 connection = await self._connection(server, deadline)
                 if connection is None:
                     return None
-                asked_at = now()
+                asked_at = self._requested_at[server] = now()
                 if step_down_term is None:
                     status = await connection.status(deadline)
                 else:
--- a/citronwood/relay/registry.py
+++ b/citronwood/relay/registry.py
@@ -19,7 +19,7 @@
     PlatformError,
     VersionConflictError,
 )
-from citronwood.platform.api import ObjectStore
+from citronwood.platform.api import Listing, ObjectStore
 from citronwood.relay.clock import now
 from citronwood.relay.leadership import Leadership
 from citronwood.relay.view import LEASE_S, PrimaryView
@@ -46,13 +46,29 @@
     process: int
 
 
+class Peer(NamedTuple):
+    """Address and failure domain of a VM; equal for all of its processes."""
+
+    name: str
+    url: str
+    failure_domain: str
+
+
+def decode_peers(listing: Listing) -> tuple[Peer, ...]:
+    """Return the VMs of the list in the order of their names."""
+    return tuple(
+        Peer(name, str(value.get("url", "")), str(value.get("failure_domain", "")))
+        for name, (value, _) in sorted(listing.objects.items())
+    )
+
+
 class VmRegistry:
     """Maintains the entry of this VM and the list of all VMs.
 
     Parameters
     ----------
-    name, url : str
-        Name of this VM and its address for other VMs.
+    name, url, failure_domain : str
+        Name of this VM, its address for other VMs, and its failure domain.
     on_vm_count : callable
         Called with the number of VMs after the list was read, unless this VM gets the
         number from the leader.
@@ -70,6 +86,7 @@
         leadership: Leadership,
         name: str,
         url: str,
+        failure_domain: str,
         on_vm_count: Callable[[int], None],
         on_registered: Callable[[], Awaitable[None]],
         needs_list: Callable[[], bool] = lambda: False,
@@ -79,6 +96,7 @@
         self._leadership = leadership
         self._name = name
         self._url = url
+        self._failure_domain = failure_domain
         self._on_vm_count = on_vm_count
         self._on_registered = on_registered
         self._needs_list = needs_list
@@ -163,7 +181,11 @@
         while True:
             # Also differs from earlier registrations of this process.
             self._registration_id = time.time_ns() // 1_000_000
-            value = {"url": self._url, "process": self._registration_id}
+            value = {
+                "url": self._url,
+                "failure_domain": self._failure_domain,
+                "process": self._registration_id,
+            }
             try:
                 await self._write_entry(value)
             except PlatformError as error:
--- a/tests/test_relay_registry.py
+++ b/tests/test_relay_registry.py
@@ -65,6 +65,7 @@
             self.leadership,
             "me",
             "tcp://me",
+            "z1",
             self.counts.append,
             self._on_registered,
             lambda: self.is_deputy,
