Forward statements to the VM that owns a server's connections

Cause: a connection serves one account, and the statements of an account arrive at all VMs.

Change: one VM in the failure domain of each server, chosen by rendezvous hashing over the list of VMs, holds the connections to it; the others forward their statements over the inner protocol where connections are fewer than VMs times accounts. A read is forwarded whole. A write first leases a connection and a transaction begins with its lease, so that nothing has taken effect while the owner may still fail; only what is sent on a lease has an unknown outcome. A call asks a quiet owner for a sign of life after 150 ms and goes to the next VM after 300 ms. The owner checks its own lease on the primary and a newer configuration, and bounds the age of reads with its positions. The position of a primary is asked of its owner too.

Found by a test that failed once: a peer that sends but receives nothing counted as alive; only answers count.

--- a/citronwood/errors.py
+++ b/citronwood/errors.py
@@ -110,6 +110,10 @@
     """A message could not be delivered to the peer and was not processed."""
 
 
+class PeerSilentError(DeadlineExceededError):
+    """The peer gave no sign of life during a call; the outcome is unknown."""
+
+
 class CallFailedError(CitronwoodError):
     """The peer failed while processing a call; the outcome is unknown."""
 
@@ -149,5 +153,9 @@
         self.sent = sent
 
 
+class NoPositionError(BackendError):
+    """No log position is known that bounds the age of a read at a replica."""
+
+
 class StaleTermError(BackendError):
     """A backend server is already at a higher term."""
--- a/citronwood/inner/messages.py
+++ b/citronwood/inner/messages.py
@@ -41,6 +41,14 @@
     """Ask a peer to replace its connection to the sender, on which nothing arrives."""
 
 
+class Ping(NamedTuple):
+    """Ask a peer for a sign of life; it answers with ``Pong``."""
+
+
+class Pong(NamedTuple):
+    """Sign of life."""
+
+
 class ExecuteStatement(NamedTuple):
     """Ask a gateway to run a statement.
 
--- a/citronwood/inner/rpc.py
+++ b/citronwood/inner/rpc.py
@@ -20,6 +20,7 @@
     CallFailedError,
     DeadlineExceededError,
     MessageError,
+    PeerSilentError,
     PeerUnavailableError,
 )
 from citronwood.inner.codec import Codec, decode_body, encode_body, encode_envelope
@@ -27,6 +28,8 @@
     PROTOCOL_VERSION,
     CallRefused,
     Envelope,
+    Ping,
+    Pong,
     Reconnect,
 )
 from citronwood.inner.peer import Outgoing
@@ -86,8 +89,11 @@
         self._next_call_id = secrets.randbits(60) + 1
         self._handler_tasks: set[asyncio.Task[None]] = set()
         self._last_received_at: dict[str, float] = {}
+        self._last_answered_at: dict[str, float] = {}
         self._next_reconnect_request_at: dict[str, float] = {}
         self.on_notification(Reconnect, self._on_reconnect)
+        self.on_notification(Ping, self._on_ping)
+        self.on_notification(Pong, self._on_pong)
 
     @property
     def name(self) -> str:
@@ -167,12 +173,17 @@
         answer_type: type[_Answer],
         deadline: float,
         answer_deadline: float | None = None,
+        silence_s: float | None = None,
     ) -> _Answer:
         """Call a peer and return its answer.
 
         The peer has to finish by ``deadline``. The answer is awaited until
         ``answer_deadline``, so that a refusal sent at the deadline can still arrive.
 
+        With ``silence_s``, the peer is asked for a sign of life when it has answered
+        nothing for that time, and the call ends when no answer arrives for the same
+        time again. A peer that is busy with the call can thus be told from a lost one.
+
         Raises
         ------
         PeerUnavailableError
@@ -180,7 +191,8 @@
         MessageError
             The message is too long and was not sent.
         DeadlineExceededError, CallFailedError
-            The call may have been processed.
+            The call may have been processed; ``PeerSilentError`` if the peer gave no
+            sign of life.
         """
         started = monotonic()
         call_id = self._next_call_id
@@ -196,16 +208,38 @@
         # as many instructions.
         wait_until = deadline if answer_deadline is None else answer_deadline
         timer = loop.call_later(time_left(wait_until), _fail_with_timeout, future)
+        watch = None
+        if silence_s is not None:
+            watch = _SilenceWatch(self, url, future, silence_s)
         try:
             answer: _Answer = await future
         except TimeoutError:
             raise self._handle_timeout(url, outgoing, started) from None
+        except PeerSilentError:
+            self.reconnect(url)
+            if not outgoing.handed_over:
+                raise PeerUnavailableError(f"{url} accepted nothing") from None
+            raise
         finally:
             timer.cancel()
+            if watch is not None:
+                watch.cancel()
             outgoing.cancelled = not outgoing.handed_over
             del self._pending[call_id]
         return answer
 
+    def ping(self, url: str) -> None:
+        """Ask a peer for a sign of life, which ``last_answered_at`` will show."""
+        self.notify(url, Ping())
+
+    def last_answered_at(self, url: str) -> float:
+        """Return the monotonic time of a peer's last answer; 0 without one.
+
+        Messages that the peer sends of its own accord do not count, because a link may
+        lose the messages of one direction only.
+        """
+        return self._last_answered_at.get(url, 0.0)
+
     def _handle_timeout(
         self, url: str, outgoing: Outgoing, started: float
     ) -> Exception:
@@ -239,6 +273,10 @@
         if len(self._last_received_at) >= MAX_TRACKED_PEERS:
             self._last_received_at.clear()
         self._last_received_at[envelope.sender_url] = monotonic()
+        if envelope.is_reply or envelope.kind == Pong.__name__:
+            if len(self._last_answered_at) >= MAX_TRACKED_PEERS:
+                self._last_answered_at.clear()
+            self._last_answered_at[envelope.sender_url] = monotonic()
         if envelope.is_reply:
             self._receive_answer(envelope)
         else:
@@ -320,6 +358,48 @@
     def _on_reconnect(self, message: Reconnect, caller: Caller) -> None:
         self._transport.reconnect(caller.url)
 
+    def _on_ping(self, message: Ping, caller: Caller) -> None:
+        self.notify(caller.url, Pong())
+
+    def _on_pong(self, message: Pong, caller: Caller) -> None:
+        """Do nothing; the time of arrival was recorded like that of any message."""
+
+
+class _SilenceWatch:
+    """Ends a call whose peer gives no sign of life."""
+
+    def __init__(
+        self, rpc: Rpc, url: str, future: asyncio.Future[Any], silence_s: float
+    ) -> None:
+        self._rpc = rpc
+        self._url = url
+        self._future = future
+        self._silence_s = silence_s
+        self._heard_until = monotonic()
+        self._pinged = False
+        self._timer = asyncio.get_running_loop().call_later(silence_s, self._check)
+
+    def cancel(self) -> None:
+        """Stop watching."""
+        self._timer.cancel()
+
+    def _check(self) -> None:
+        if self._future.done():
+            return
+        heard_at = self._rpc.last_answered_at(self._url)
+        if heard_at > self._heard_until:
+            self._heard_until, self._pinged = heard_at, False
+        elif self._pinged:
+            self._future.set_exception(
+                PeerSilentError(f"{self._url} gave no sign of life")
+            )
+            return
+        else:
+            self._rpc.ping(self._url)
+            self._pinged = True
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._silence_s, self._check)
+
 
 def _fail_with_timeout(future: asyncio.Future[Any]) -> None:
     if not future.done():
--- a/citronwood/platform/process.py
+++ b/citronwood/platform/process.py
@@ -99,6 +99,7 @@
         gc.freeze()
         await stopping.wait()
         log_state(log, "process", "stopping", f"entry: {settings.name} stops")
+        node.stop_accepting()
         await callers.stop(settings.grace_s)
         await node.close()
         await metrics_server.stop()
--- a/citronwood/relay/messages.py
+++ b/citronwood/relay/messages.py
@@ -116,3 +116,93 @@
 
     version: int
     objects: bytes
+
+
+class ForwardedStatement(NamedTuple):
+    """Statement of a caller, as in ``citronwood.relay.statement.Statement``.
+
+    ``shape`` is the text of the prepared statement that an execution names.
+    """
+
+    id: str
+    verb: str
+    text: str
+    name: str
+    value: str
+    writes: bool
+    shape: str
+
+
+class OpenLease(NamedTuple):
+    """Request to use a connection to a backend server for one of its accounts.
+
+    With ``statement``, a single read, the connection is given back after it has run.
+    Else the caller holds the connection under the number ``lease``, which it chose, in
+    a transaction that is begun with ``begin`` ("read" or "write") or for one write.
+    ``max_age_ms`` is None for the primary; else the server's log must hold all commits
+    that were acknowledged before this time, and ``after``, the last commit of the
+    session, as (term, number). ``rules_version`` is the version of the configuration
+    that allowed the request.
+    """
+
+    lease: int
+    database: str
+    account: str
+    group: str
+    server: str
+    rules_version: int
+    max_age_ms: int | None
+    after: tuple[int, int] | None
+    variables: dict[str, str]
+    begin: str
+    statement: ForwardedStatement | None
+
+
+class RunInLease(NamedTuple):
+    """Request to run a statement on a held connection; None rolls back.
+
+    The connection is given back after a ``final`` statement and after the end of its
+    transaction.
+    """
+
+    lease: int
+    variables: dict[str, str]
+    statement: ForwardedStatement | None
+    final: bool
+
+
+class EndLease(NamedTuple):
+    """Notification that a held connection is not used any more; it is closed."""
+
+    lease: int
+
+
+class ForwardedAnswer(NamedTuple):
+    """Answer of a backend server, or the reason why there is none.
+
+    ``outcome`` is a value of ``citronwood.relay.leases.LeaseOutcome`` and ``detail``
+    describes it. ``excess_ms`` is as in ``OverloadedError``. The other fields are those
+    of ``citronwood.relay.statement.Answer``.
+    """
+
+    outcome: str
+    detail: str = ""
+    excess_ms: int = 0
+    rows: tuple[str, ...] = ()
+    signature: str | None = None
+    reason: str = ""
+    message: str = ""
+    state: str = ""
+    position: tuple[int, int] | None = None
+
+
+class AskPosition(NamedTuple):
+    """Request for a recent log position of a group's primary."""
+
+    group: str
+
+
+class PositionAnswer(NamedTuple):
+    """Position as (term, number, age in ms); None when the VM knows no recent one."""
+
+    position: tuple[int, int, int] | None
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -18,8 +18,10 @@
 from citronwood.relay.failover import Failover, Promotion
 from citronwood.relay.feeds import Feed
 from citronwood.relay.follower import FeedFollower
+from citronwood.relay.forwarding import Forwarding
 from citronwood.relay.grantors import choose_deputies
 from citronwood.relay.leadership import Leadership, decode_state, encode_state
+from citronwood.relay.leases import Leases
 from citronwood.relay.limiter import AccountBuckets, AccountLimiter, Grants
 from citronwood.relay.messages import (
     AskReachable,
@@ -32,6 +34,7 @@
     StoreReads,
 )
 from citronwood.relay.model import BackendServer, Rules
+from citronwood.relay.owners import Owners, is_forwarding_useful
 from citronwood.relay.probes import STATUS_TIMEOUT_S, Probes
 from citronwood.relay.registry import VM_KIND, Peer, VmRegistry, decode_peers
 from citronwood.relay.reports import Reports, has_ended
@@ -107,7 +110,16 @@
         self._servers_known = False
         self._missing_since: dict[str, float] = {}
         self._listed: dict[str, BackendServer] = {}
-        self._probes = Probes(self._servers, connect, self._view)
+        self._owners = Owners(options.name)
+        self._forwarding = Forwarding(
+            options.name, self._owners, lambda: self._rules, self._is_forwarding_useful
+        )
+        self._probes = Probes(
+            self._servers, connect, self._view, self._forwarding.ask_position
+        )
+        self._leases = Leases(
+            self._servers, self._view, self._probes, lambda: self._rules
+        )
         self._leadership = Leadership(
             store,
             self._view,
@@ -156,7 +168,11 @@
         self._failover: Failover | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._session_context = SessionContext(
-            self._servers, self._view, self._probes, self._limiter
+            self._servers,
+            self._view,
+            self._probes,
+            self._limiter,
+            self._forwarding,
         )
 
     @property
@@ -203,8 +219,13 @@
         for loop in loops:
             self._tasks.append(asyncio.ensure_future(loop))
 
+    def stop_accepting(self) -> None:
+        """Refuse statements of other VMs that do not belong to an open transaction."""
+        self._leases.stop()
+
     async def close(self) -> None:
         """Leave the fleet; all sessions must have ended."""
+        self._leases.end_all()
         self._view.suspend()
         await self._leadership.resign()
         self._servers.close()
@@ -225,6 +246,8 @@
         rpc.on_notification(StateChanged, self._on_state)
         self._reports.start(rpc)
         self._feeds.start(rpc)
+        self._leases.start(rpc)
+        self._forwarding.start(rpc)
         rpc.start(self._url)
         self._rpc = rpc
         self._failover = Failover(
@@ -378,8 +401,27 @@
             return
         self._vm_count = count
         self._buckets.set_vm_count(count)
+        self._divide_connections()
+
+    def _divide_connections(self) -> None:
         if self._rules is not None:
-            self._servers.divide_connections(self._rules, count)
+            self._servers.divide_connections(self._rules, self._vm_count, self._owns)
+
+    def _owns(self, server: BackendServer) -> bool | None:
+        """Whether this VM is a server's owner; None if nothing is forwarded to it."""
+        if not self._is_forwarding_useful(server.group):
+            return None
+        return self._owners.is_owner(server)
+
+    def _is_forwarding_useful(self, group: str) -> bool:
+        if self._rules is None or not self._owners.is_known:
+            return False
+        # One more than the known accounts, for callers without a key.
+        return is_forwarding_useful(
+            self._rules.connection_caps.get(group, 0),
+            self._vm_count,
+            len(self._rules.accounts) + 1,
+        )
 
     def _groups(self) -> frozenset[str]:
         if self._rules is None:
@@ -389,7 +431,7 @@
     def _apply_rules(self, rules: Rules) -> None:
         if self._rules is None or rules.version > self._rules.version:
             self._rules = rules
-            self._servers.divide_connections(rules, self._vm_count)
+            self._divide_connections()
             log_state(
                 log,
                 "configuration",
@@ -400,6 +442,8 @@
 
     def _apply_peers(self, peers: tuple[Peer, ...]) -> None:
         self._peers = peers
+        self._owners.set_peers(peers)
+        self._divide_connections()
 
     def _apply_servers(self, servers: list[BackendServer]) -> None:
         listed = {entry.id: entry for entry in servers}
@@ -433,6 +477,7 @@
             self._drop_missing()
             self._servers.maintain()
             self._probes.close_idle()
+            self._leases.end_unused()
             self._deputies = choose_deputies(
                 self._registry.vms, self._buckets.lenders - {self._options.name}
             )
--- a/citronwood/relay/pool.py
+++ b/citronwood/relay/pool.py
@@ -16,6 +16,7 @@
 import random
 from collections.abc import Awaitable
 from time import monotonic
+from typing import Protocol
 
 from citronwood.backend.queue import FairQueue
 from citronwood.deadline import has_passed, timeout_at
@@ -24,6 +25,7 @@
     ConnectionLostError,
     ServerFullError,
 )
+from citronwood.relay.clock import now
 from citronwood.relay.model import BackendServer, Position
 from citronwood.relay.statement import (
     Answer,
@@ -38,7 +40,7 @@
 log = logging.getLogger(__name__)
 
 # Connections that were idle for longer are closed, because the server may be gone.
-IDLE_TIMEOUT_S = 10.0
+IDLE_TIMEOUT_S = 30.0
 # Idle timeout of connections beyond this VM's share of the server's connections: long
 # enough for the next few requests, short because other VMs need the connections.
 EXCESS_IDLE_TIMEOUT_S = 0.4
@@ -81,17 +83,78 @@
         self.prepared: dict[str, PreparedStatement] = {}
 
 
+class LeasedConnection(Protocol):
+    """Connection to a backend server while a session uses it.
+
+    All statements raise ``ConnectionLostError`` when no complete answer arrives before
+    the deadline (monotonic seconds). ``asked_at`` is a time (of ``relay.clock``) before
+    the last statement was sent to the server, and ``floor`` the position that the log
+    of a replica has to hold for the session's reads; None at the primary.
+    """
+
+    asked_at: float
+    floor: Position | None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection can be used."""
+        ...
+
+    async def run(
+        self,
+        statement: Statement,
+        settings: SessionSettings,
+        deadline: float,
+        after: Position | None = None,
+    ) -> Answer:
+        """Run a statement with the session's variables set."""
+        ...
+
+    async def begin(
+        self, settings: SessionSettings, read_only: bool, deadline: float
+    ) -> Answer:
+        """Begin a transaction with the session's variables set."""
+        ...
+
+    async def roll_back(self, deadline: float) -> Answer:
+        """Roll back the transaction."""
+        ...
+
+    def release(self) -> None:
+        """Give back the connection, which is lost or has no open transaction."""
+        ...
+
+    def discard(self) -> None:
+        """Close the connection, which is lost or may have an open transaction."""
+        ...
+
+
 class PooledConnection:
-    """Connection to a backend server and the session settings applied to it."""
+    """Connection to a backend server and the session settings applied to it.
+
+    Implements ``LeasedConnection``.
+    """
 
-    def __init__(self, raw: ServerConnection, account: str, server: str) -> None:
+    def __init__(self, raw: ServerConnection, account: str, pool: "ServerPool") -> None:
         self.raw = raw
         self.account = account
-        self.server = server
+        self.asked_at = now()
+        self.floor: Position | None = None
         self.opened_at = self.used_at = monotonic()
+        self._pool = pool
         self._variables: dict[str, str] = {}
         self._prepared: set[str] = set()
 
+    @property
+    def server(self) -> str:
+        """Id of the backend server."""
+        return self._pool.server.id
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection can be used."""
+        return self.raw.is_open
+
     @property
     def is_reusable(self) -> bool:
         """Whether another session may use the connection."""
@@ -109,6 +172,7 @@
         after: Position | None = None,
     ) -> Answer:
         """Run a statement with the session's variables set."""
+        self.asked_at = now()
         failed_answer = await self._run_setup(self._apply_variables(settings, deadline))
         if failed_answer is not None:
             return failed_answer
@@ -136,13 +200,25 @@
         settings: SessionSettings,
         read_only: bool,
         deadline: float,
-        after: Position | None,
     ) -> Answer:
         """Begin a transaction with the session's variables set."""
+        self.asked_at = now()
         failed_answer = await self._run_setup(self._apply_variables(settings, deadline))
         if failed_answer is not None:
             return failed_answer
-        return await self.raw.begin(read_only, deadline, after)
+        return await self.raw.begin(read_only, deadline, self.floor)
+
+    async def roll_back(self, deadline: float) -> Answer:
+        """Roll back the transaction."""
+        return await self.raw.rollback(deadline)
+
+    def release(self) -> None:
+        """Give the connection back to its pool."""
+        self._pool.release(self)
+
+    def discard(self) -> None:
+        """Close the connection and tell its pool."""
+        self._pool.discard(self)
 
     async def _run_setup(self, step: Awaitable[Answer | None]) -> Answer | None:
         """Await a step before the statement and return its answer if it failed.
@@ -380,8 +456,11 @@
             self._start_cooldown()
             if isinstance(error, ServerFullError):
                 self._reduce_limit()
+                if self._idle:
+                    # Makes room for the next attempt.
+                    self._idle.pop(0).raw.abort()
                 if not self._in_use and not self._idle and self._starved_since is None:
                     self._starved_since = monotonic()
             raise
         self._starved_since = None
-        return PooledConnection(raw, account, server.id)
+        return PooledConnection(raw, account, self)
--- a/citronwood/relay/probes.py
+++ b/citronwood/relay/probes.py
@@ -2,14 +2,15 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from citronwood.deadline import deadline_in
 from citronwood.decisions import log_state
 from citronwood.errors import BackendUnavailableError, ConnectionLostError
 from citronwood.relay.clock import now
-from citronwood.relay.model import Position
-from citronwood.relay.positions import GroupPositions
+from citronwood.relay.model import BackendServer, Position
+from citronwood.relay.positions import GroupPositions, Observation
 from citronwood.relay.servers import Servers
 from citronwood.relay.statement import ServerConnection, ServerConnector, ServerStatus
 from citronwood.relay.view import PrimaryView
@@ -33,12 +34,24 @@
 
 
 class Probes:
-    """Status requests over one separate connection to each server."""
+    """Status requests over one separate connection to each server.
+
+    Parameters
+    ----------
+    ask_owner : callable
+        Returns a position of a primary from the VM that owns it; None to ask the
+        primary itself.
+    """
 
     def __init__(
-        self, servers: Servers, connect: ServerConnector, view: PrimaryView
+        self,
+        servers: Servers,
+        connect: ServerConnector,
+        view: PrimaryView,
+        ask_owner: Callable[[BackendServer], Awaitable[Observation | None]],
     ) -> None:
         self._servers = servers
+        self._ask_owner = ask_owner
         self._connect = connect
         self._view = view
         self._connections: dict[str, ServerConnection] = {}
@@ -105,6 +118,12 @@
         primary = self._view.primary_of(group)
         if primary is None:
             return
+        pool = self._servers.get(primary)
+        if pool is not None:
+            observed = await self._ask_owner(pool.server)
+            if observed is not None:
+                self.positions(group).observe(observed.position, observed.asked_at)
+                return
         probe = await self.status(primary, deadline_in(STATUS_TIMEOUT_S))
         # The position counts only if the server was the primary when it was asked.
         if probe is not None and self._view.primary_of(group) == primary:
--- a/citronwood/relay/routing.py
+++ b/citronwood/relay/routing.py
@@ -12,15 +12,22 @@
 from citronwood.deadline import has_passed, time_left, timeout_at
 from citronwood.errors import (
     BackendUnavailableError,
+    NoPositionError,
     OverloadedError,
     StatementRefusedError,
 )
 from citronwood.relay.clock import now
-from citronwood.relay.model import Account, Consistency, Position, Route
-from citronwood.relay.pool import PooledConnection, ServerPool, SessionSettings
+from citronwood.relay.model import (
+    Account,
+    BackendServer,
+    Consistency,
+    Position,
+    Route,
+)
+from citronwood.relay.pool import LeasedConnection, ServerPool, SessionSettings
 from citronwood.relay.positions import GroupPositions
 from citronwood.relay.servers import Servers
-from citronwood.relay.statement import Failure, Reason
+from citronwood.relay.statement import Failure, Reason, Statement
 from citronwood.relay.view import PrimaryView
 
 # For this long after its last commit, a session reads from the primary, because
@@ -62,6 +69,48 @@
         ...
 
 
+class ReadBounds(NamedTuple):
+    """What the log of a replica must hold for a read.
+
+    That is all commits acknowledged before ``oldest``, which is ``max_age_s`` before
+    the read began, and the session's last commit if there is one.
+    """
+
+    oldest: float
+    max_age_s: float
+    commit: Position | None
+
+
+class Use(NamedTuple):
+    """What a connection is needed for.
+
+    ``bounds`` is None at the primary. ``begin`` is the kind of the transaction to begin
+    ("read" or "write"), and ``statement`` a single read.
+    """
+
+    database: str
+    account: str
+    settings: SessionSettings
+    bounds: ReadBounds | None
+    begin: str
+    statement: Statement | None
+
+
+class Forwarding(Protocol):
+    """Uses connections to backend servers that other VMs hold."""
+
+    async def open(
+        self, server: BackendServer, use: Use, deadline: float
+    ) -> LeasedConnection | None:
+        """Return a connection of another VM; None to use one of this VM.
+
+        Raises as ``ServerPool.acquire``, and ``NoPositionError`` when no position is
+        known that covers the bounds. Nothing but a read or the begin of a transaction
+        has run then.
+        """
+        ...
+
+
 class SessionContext(NamedTuple):
     """Objects that all sessions of a VM share."""
 
@@ -69,6 +118,31 @@
     view: PrimaryView
     positions: PositionReader
     admission: Admission
+    forwarding: Forwarding
+
+
+async def find_floor(
+    position_reader: PositionReader, group: str, bounds: ReadBounds, deadline: float
+) -> Position:
+    """Return a position that covers the bounds.
+
+    If no known position covers them, the primary is asked for its position first.
+    Raises ``NoPositionError``.
+    """
+    positions = position_reader.positions(group)
+    floor = positions.covering(bounds.oldest)
+    if floor is None:
+        await position_reader.refresh(group, deadline)
+        floor = positions.covering(bounds.oldest)
+        if floor is None:
+            raise NoPositionError(f"no recent position of {group} is known")
+    else:
+        newest = positions.newest
+        assert newest is not None
+        if newest.asked_at < now() - bounds.max_age_s * REFRESH_FRACTION:
+            position_reader.refresh_soon(group)
+    commit = positions.clamp(bounds.commit)
+    return floor if commit is None else max(floor, commit)
 
 
 class Trace:
@@ -112,24 +186,21 @@
         self._context.servers.mark_suspect(pool.server.id)
 
     async def acquire_connection(
-        self,
-        pool: ServerPool,
-        after: Position | None,
-        account: Account,
-        settings: SessionSettings,
-        excluded: set[str],
-        deadline: float,
-    ) -> PooledConnection | None:
-        """Take a connection to a replica, or without ``after`` to the primary.
+        self, pool: ServerPool, use: Use, excluded: set[str], deadline: float
+    ) -> LeasedConnection | None:
+        """Take a connection to a replica, or without bounds to the primary.
 
-        Returns None when a server has to be chosen again. A server that gave no
-        connection has then been added to ``excluded``.
+        Returns None when a server has to be chosen again. Servers that gave no
+        connection have then been added to ``excluded``.
         """
-        at_primary = after is None
+        at_primary = use.bounds is None
         try:
-            connection = await self._acquire_from_pool(
-                pool, account, settings, deadline
-            )
+            connection = await self._acquire(pool, use, deadline)
+        except NoPositionError:
+            # Only the primary can serve the read.
+            servers = self._context.servers.of_group(pool.server.group)
+            excluded.update(server.id for server in servers)
+            return None
         except BackendUnavailableError as error:
             excluded.add(pool.server.id)
             if at_primary:
@@ -142,25 +213,32 @@
             return None
         server = pool.server
         if at_primary and self._context.view.primary_of(server.group) != server.id:
-            pool.release(connection)
+            connection.release()
             return None
+        self.trace.floor = connection.floor
         return connection
 
-    async def _acquire_from_pool(
-        self,
-        pool: ServerPool,
-        account: Account,
-        settings: SessionSettings,
-        deadline: float,
-    ) -> PooledConnection:
-        """Take a connection from the pool.
+    async def _acquire(
+        self, pool: ServerPool, use: Use, deadline: float
+    ) -> LeasedConnection:
+        """Take a connection that another VM or this one holds.
 
         Raises ``StatementRefusedError`` when none is free in time, and
         ``BackendUnavailableError`` when none can be opened now.
         """
         self.trace.servers.append(pool.server.id)
         try:
-            return await pool.acquire(account.name, settings, deadline)
+            forwarded = await self._context.forwarding.open(pool.server, use, deadline)
+            if forwarded is not None:
+                return forwarded
+            floor = None
+            if use.bounds is not None:
+                floor = await find_floor(
+                    self._context.positions, pool.server.group, use.bounds, deadline
+                )
+            connection = await pool.acquire(use.account, use.settings, deadline)
+            connection.floor = floor
+            return connection
         except OverloadedError as error:
             text = retry_message("too many requests wait", error.excess_s)
             raise refusal(Reason.OVERLOADED, text) from None
@@ -194,10 +272,10 @@
         excluded: set[str],
         last_commit: LastCommit,
         deadline: float,
-    ) -> tuple[ServerPool, Position | None]:
-        """Return a server for a read, and the position that its log must have reached.
+    ) -> tuple[ServerPool, ReadBounds | None]:
+        """Return a server for a read, and what its log must hold.
 
-        Without a position, the server is the primary.
+        Without bounds, the server is the primary.
         """
         commit_floor = self._context.positions.positions(route.group).clamp(
             last_commit.position
@@ -216,41 +294,17 @@
                 route.group, primary, account.name, excluded
             )
             if pool is not None:
-                after = await self._age_floor(
-                    route, started_at - route.max_age_s, deadline
+                own_commit = (
+                    commit_floor
+                    if route.consistency is Consistency.READ_YOUR_WRITES
+                    else None
                 )
-                if after is not None:
-                    if (
-                        route.consistency is Consistency.READ_YOUR_WRITES
-                        and commit_floor
-                    ):
-                        after = max(after, commit_floor)
-                    self.trace.floor = after
-                    return pool, after
+                oldest = started_at - route.max_age_s
+                return pool, ReadBounds(oldest, route.max_age_s, own_commit)
         if has_passed(deadline):
             raise refusal(Reason.OVERLOADED, "no server could take the read")
         return await self.wait_for_primary(route, deadline), None
 
-    async def _age_floor(
-        self, route: Route, oldest: float, deadline: float
-    ) -> Position | None:
-        """Return a position that covers all commits before ``oldest``, or None.
-
-        If no known position covers them, the primary is asked for its position first.
-        """
-        position_reader = self._context.positions
-        positions = position_reader.positions(route.group)
-        floor = positions.covering(oldest)
-        if floor is None:
-            await position_reader.refresh(route.group, deadline)
-            return positions.covering(oldest)
-        newest = positions.newest
-        assert newest is not None
-        assert route.max_age_s is not None
-        if newest.asked_at < now() - route.max_age_s * REFRESH_FRACTION:
-            position_reader.refresh_soon(route.group)
-        return floor
-
     async def wait_before_retry(self, deadline: float, cause: str) -> None:
         """Back off before a retry; raise if the deadline leaves no time for one.
 
--- a/citronwood/relay/servers.py
+++ b/citronwood/relay/servers.py
@@ -5,7 +5,8 @@
 domain is preferred until this VM's queue for it is longer than that for a remote one.
 """
 
-from collections.abc import Iterable
+import random
+from collections.abc import Callable, Iterable
 from time import monotonic
 
 from citronwood.relay.model import BackendServer, Role, Rules
@@ -16,6 +17,7 @@
 # and for opening a connection. Each takes about a fifth of the time of a typical read.
 REMOTE_COST = 0.4
 CONNECT_COST = 0.3
+MAX_RANDOM_COST = 0.01
 # For this long after it failed a request, a server is deprioritized.
 SUSPECT_DURATION_S = 1.0
 SUSPECT_COST = 100.0
@@ -39,6 +41,7 @@
         self._suspect_until: dict[str, float] = {}
         self._connection_caps: dict[str, int] = {}
         self._vm_count = 1
+        self._owns: Callable[[BackendServer], bool | None] = lambda _: None
 
     def get(self, server: str) -> ServerPool | None:
         """Return the pool of a server."""
@@ -60,22 +63,31 @@
         for server in listed.values():
             existing = self._pools.get(server.id)
             if existing is None:
-                limit = self._connection_limit(server.group)
+                limit = self._connection_limit(server)
                 new_pool = ServerPool(server, self._connect, limit)
-                new_pool.resize(limit, self._share(server.group))
+                new_pool.resize(limit, self._share(server))
                 self._pools[server.id] = new_pool
             else:
                 existing.server = server
             groups.setdefault(server.group, []).append(server.id)
         self._groups = groups
 
-    def divide_connections(self, rules: Rules, vm_count: int) -> None:
-        """Divide the configured connection limits among a number of VMs."""
+    def divide_connections(
+        self,
+        rules: Rules,
+        vm_count: int,
+        owns: Callable[[BackendServer], bool | None],
+    ) -> None:
+        """Divide the configured connection limits among a number of VMs.
+
+        ``owns`` returns whether this VM is the owner of a server, or None if the VMs
+        use a server without forwarding.
+        """
         self._connection_caps = rules.connection_caps
         self._vm_count = max(1, vm_count)
+        self._owns = owns
         for pool in self._pools.values():
-            group = pool.server.group
-            pool.resize(self._connection_limit(group), self._share(group))
+            pool.resize(self._connection_limit(pool.server), self._share(pool.server))
 
     def mark_suspect(self, server: str) -> None:
         """Deprioritize a server for a while."""
@@ -111,7 +123,8 @@
             pool.close()
 
     def _cost(self, pool: ServerPool, account: str) -> float:
-        cost = float(pool.load)
+        # The random part spreads reads over servers with the same load.
+        cost = pool.load + random.uniform(0.0, MAX_RANDOM_COST)
         if pool.server.failure_domain != self._failure_domain:
             cost += REMOTE_COST
         if not pool.has_idle(account):
@@ -122,14 +135,19 @@
             cost += SUSPECT_COST
         return cost
 
-    def _share(self, group: str) -> int:
-        """Return this VM's equal share of the connections to each server."""
-        return int(
-            self._connection_caps.get(group, 0) * SHARED_FRACTION / self._vm_count
-        )
+    def _share(self, server: BackendServer) -> int:
+        """Return how many connections to a server this VM may keep.
 
-    def _connection_limit(self, group: str) -> int:
-        return min(MAX_CONNECTIONS, max(MIN_CONNECTIONS, self._share(group)))
+        That is an equal share, or all of them for the owner and none for other VMs.
+        """
+        shared = self._connection_caps.get(server.group, 0) * SHARED_FRACTION
+        is_owner = self._owns(server)
+        if is_owner is None:
+            return int(shared / self._vm_count)
+        return int(shared) if is_owner else 0
+
+    def _connection_limit(self, server: BackendServer) -> int:
+        return min(MAX_CONNECTIONS, max(MIN_CONNECTIONS, self._share(server)))
 
 
 def _is_replaced(previous: BackendServer, listed: BackendServer) -> bool:
--- a/citronwood/relay/session.py
+++ b/citronwood/relay/session.py
@@ -9,16 +9,18 @@
 from citronwood.relay.clock import now
 from citronwood.relay.model import Account, Position, Route, Rules
 from citronwood.relay.pool import (
-    PooledConnection,
+    LeasedConnection,
     PreparedStatement,
     ServerPool,
     SessionSettings,
 )
 from citronwood.relay.routing import (
     LastCommit,
+    ReadBounds,
     Router,
     SessionContext,
     Trace,
+    Use,
     refusal,
     retry_message,
 )
@@ -52,7 +54,7 @@
         self.read_only = read_only
         self.began_at = now()
         self.pool: ServerPool | None = None
-        self.connection: PooledConnection | None = None
+        self.connection: LeasedConnection | None = None
         self.at_primary = False
         self.has_written = False
 
@@ -235,18 +237,18 @@
     async def _write(
         self, statement: Statement, route: Route, account: Account, deadline: float
     ) -> Answer:
+        use = Use(self._database, account.name, self._settings, None, "", None)
         while True:
             pool = await self._router.wait_for_primary(route, deadline)
             connection = await self._router.acquire_connection(
-                pool, None, account, self._settings, set(), deadline
+                pool, use, set(), deadline
             )
             if connection is None:
                 continue
-            asked_at = now()
             try:
                 answer = await connection.run(statement, self._settings, deadline)
             except ConnectionLostError as error:
-                pool.discard(connection)
+                connection.discard()
                 self._router.mark_suspect(pool)
                 if error.sent:
                     message = f"the backend server's answer was lost: {error}"
@@ -255,11 +257,11 @@
                     deadline, "the connection was lost"
                 )
                 continue
-            pool.release(connection)
+            connection.release()
             if answer.failure is not None and answer.failure.reason in NOT_RUN:
                 await self._router.wait_before_retry(deadline, answer.failure.message)
                 continue
-            self._record_position(route, pool, answer, asked_at, committed=True)
+            self._record_position(route, answer, connection.asked_at, committed=True)
             return answer
 
     async def _read(
@@ -268,29 +270,31 @@
         started_at = now()
         excluded: set[str] = set()
         while True:
-            pool, after = await self._router.choose_reader(
+            pool, bounds = await self._router.choose_reader(
                 route, account, started_at, excluded, self._last_commit, deadline
             )
+            use = Use(
+                self._database, account.name, self._settings, bounds, "", statement
+            )
             connection = await self._router.acquire_connection(
-                pool, after, account, self._settings, excluded, deadline
+                pool, use, excluded, deadline
             )
             if connection is None:
                 continue
-            at_primary = after is None
-            asked_at = now()
+            at_primary = bounds is None
             try:
                 answer = await connection.run(
-                    statement, self._settings, deadline, after
+                    statement, self._settings, deadline, connection.floor
                 )
             except ConnectionLostError as error:
-                pool.discard(connection)
+                connection.discard()
                 self._router.mark_suspect(pool)
                 excluded.add(pool.server.id)
                 await self._router.wait_before_retry(
                     deadline, f"the answer was lost: {error}"
                 )
                 continue
-            pool.release(connection)
+            connection.release()
             failure = answer.failure
             if failure is not None and failure.reason in NOT_RUN:
                 excluded.add(pool.server.id)
@@ -298,7 +302,9 @@
                     await self._router.wait_before_retry(deadline, failure.message)
                 continue
             if at_primary:
-                self._record_position(route, pool, answer, asked_at, committed=False)
+                self._record_position(
+                    route, answer, connection.asked_at, committed=False
+                )
             return answer
 
     # Transactions.
@@ -335,11 +341,10 @@
         connection, pool = transaction.connection, transaction.pool
         assert connection is not None
         assert pool is not None
-        if not connection.raw.is_open or not self._may_continue(transaction, pool):
+        if not connection.is_open or not self._may_continue(transaction, pool):
             raise refusal(Reason.ABORTED, "the transaction's connection was lost")
         is_commit = statement.verb is Verb.COMMIT
         writes = self._is_write(statement)
-        asked_at = now()
         try:
             answer = await connection.run(statement, self._settings, deadline)
         except ConnectionLostError as error:
@@ -356,13 +361,13 @@
             return answer
         self._transaction = None
         if answer.state is TransactionState.IDLE:
-            pool.release(connection)
+            connection.release()
         else:
-            pool.discard(connection)
+            connection.discard()
         if answer.failure is None and transaction.at_primary:
             wrote = transaction.has_written
             self._record_position(
-                transaction.route, pool, answer, asked_at, committed=wrote
+                transaction.route, answer, connection.asked_at, committed=wrote
             )
         return answer
 
@@ -379,8 +384,9 @@
         route, account = transaction.route, transaction.account
         excluded: set[str] = set()
         while True:
+            bounds: ReadBounds | None = None
             if transaction.read_only:
-                pool, after = await self._router.choose_reader(
+                pool, bounds = await self._router.choose_reader(
                     route,
                     account,
                     transaction.began_at,
@@ -389,18 +395,20 @@
                     deadline,
                 )
             else:
-                pool, after = await self._router.wait_for_primary(route, deadline), None
+                pool = await self._router.wait_for_primary(route, deadline)
+            kind = "read" if transaction.read_only else "write"
+            use = Use(self._database, account.name, self._settings, bounds, kind, None)
             connection = await self._router.acquire_connection(
-                pool, after, account, self._settings, excluded, deadline
+                pool, use, excluded, deadline
             )
             if connection is None:
                 continue
             try:
                 answer = await connection.begin(
-                    self._settings, transaction.read_only, deadline, after
+                    self._settings, transaction.read_only, deadline
                 )
             except ConnectionLostError as error:
-                pool.discard(connection)
+                connection.discard()
                 self._router.mark_suspect(pool)
                 excluded.add(pool.server.id)
                 await self._router.wait_before_retry(
@@ -410,11 +418,11 @@
             if answer.failure is None:
                 transaction.pool = pool
                 transaction.connection = connection
-                transaction.at_primary = after is None
+                transaction.at_primary = bounds is None
                 return
-            pool.discard(connection)
+            connection.discard()
             excluded.add(pool.server.id)
-            if after is None:
+            if bounds is None:
                 await self._router.wait_before_retry(deadline, answer.failure.message)
 
     async def _roll_back(self) -> None:
@@ -422,38 +430,34 @@
         self._transaction_failed = False
         if transaction is None or transaction.connection is None:
             return
-        connection, pool = transaction.connection, transaction.pool
-        assert pool is not None
-        transaction.connection = None
-        if not connection.raw.is_open:
-            pool.discard(connection)
+        connection, transaction.connection = transaction.connection, None
+        if not connection.is_open:
+            connection.discard()
             return
         try:
-            answer = await connection.raw.rollback(deadline_in(ROLLBACK_TIMEOUT_S))
+            answer = await connection.roll_back(deadline_in(ROLLBACK_TIMEOUT_S))
         except ConnectionLostError:
-            pool.discard(connection)
+            connection.discard()
             return
         except BaseException:
-            pool.discard(connection)
+            connection.discard()
             raise
         if answer.failure is None and answer.state is TransactionState.IDLE:
-            pool.release(connection)
+            connection.release()
         else:
-            pool.discard(connection)
+            connection.discard()
 
     def _drop_connection(self) -> None:
         transaction = self._transaction
         if transaction is None or transaction.connection is None:
             return
-        assert transaction.pool is not None
-        transaction.pool.discard(transaction.connection)
+        transaction.connection.discard()
         # ``transaction.connection`` keeps the closed connection; with None, the next
         # statement would begin the transaction again.
 
     def _record_position(
         self,
         route: Route,
-        pool: ServerPool,
         answer: Answer,
         asked_at: float,
         committed: bool,
--- a/tests/relay_standins.py
+++ b/tests/relay_standins.py
@@ -441,7 +441,9 @@
         self._writer.close()
 
 
-def configuration(version=1, kind="read_your_writes", keys=("key-1",), **tenant):
+def configuration(
+    version=1, kind="read_your_writes", keys=("key-1",), max_conns=60, **tenant
+):
     """Return a configuration as the operator writes it."""
     return {
         "version": version,
@@ -456,7 +458,7 @@
                 "allow_anonymous": False,
             }
         ],
-        "services": [{"name": "orders", "max_conns": 60}],
+        "services": [{"name": "orders", "max_conns": max_conns}],
         "limits": {"tx_idle_ms": 3000},
         "tenants": [
             {
--- a/tests/test_relay_routing.py
+++ b/tests/test_relay_routing.py
@@ -18,7 +18,7 @@
     attempts = []
 
     async def scenario(loop):
-        router = Router(SessionContext(None, PrimaryView(), None, None))
+        router = Router(SessionContext(None, PrimaryView(), None, None, None))
         deadline = loop.time() + TIMEOUT_S
         with pytest.raises(StatementRefusedError):
             while True:
@@ -35,7 +35,7 @@
     view = PrimaryView()
 
     async def scenario(loop):
-        router = Router(SessionContext(None, view, None, None))
+        router = Router(SessionContext(None, view, None, None, None))
         router.trace.retries = 5
         loop.call_later(0.02, view.suspend)
         await router.wait_before_retry(loop.time() + TIMEOUT_S, "it is no primary")
