End forwarded statements before a stopping VM leaves the fleet

Cause: a stopping owner closed its connections as soon as its own callers had left; writes of other VMs that it had accepted ended with an unknown outcome.

--- a/citronwood/platform/process.py
+++ b/citronwood/platform/process.py
@@ -10,6 +10,7 @@
 
 import uvloop
 
+from citronwood.deadline import deadline_in
 from citronwood.decisions import log_state
 from citronwood.errors import SettingsError
 from citronwood.logs import configure_logs
@@ -35,6 +36,9 @@
 log = logging.getLogger(__name__)
 
 EXIT_CODE_INVALID = 2
+# Part of the grace period for transactions that other VMs run on this one. Callers end
+# their own transactions in the first half.
+LEASE_GRACE_SHARE = 0.7
 # Also set in deploy/system.toml; outside of the platform's own port range.
 METRICS_PORT = 9464
 FEED_KINDS = FeedKinds(RULES_KIND, decode_rules, SERVERS_KIND, decode_servers)
@@ -99,8 +103,10 @@
         gc.freeze()
         await stopping.wait()
         log_state(log, "process", "stopping", f"entry: {settings.name} stops")
+        lease_end = deadline_in(settings.grace_s * LEASE_GRACE_SHARE)
         node.stop_accepting()
         await callers.stop(settings.grace_s)
+        await node.finish_leases(lease_end)
         await node.close()
         await metrics_server.stop()
         await readiness.close()
--- a/citronwood/relay/leases.py
+++ b/citronwood/relay/leases.py
@@ -5,12 +5,13 @@
 that is not used for longer than a transaction may be idle is ended here.
 """
 
+import asyncio
 import logging
 from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple
 
-from citronwood.deadline import deadline_in, has_passed
+from citronwood.deadline import deadline_in, has_passed, timeout_at
 from citronwood.decisions import log_state
 from citronwood.errors import (
     BackendUnavailableError,
@@ -110,6 +111,8 @@
         self._rules = rules
         self._leases: dict[_LeaseKey, _Lease] = {}
         self._stopping = False
+        self._opening_count = 0
+        self._changed = asyncio.Event()
 
     @property
     def open_count(self) -> int:
@@ -127,6 +130,21 @@
         """Refuse new leases; statements of open ones still run."""
         self._stopping = True
 
+    async def wait_until_ended(self, deadline: float) -> None:
+        """Wait until no statement runs and no lease is open, or until the deadline."""
+        try:
+            async with timeout_at(deadline):
+                while self._leases or self._opening_count:
+                    self._changed.clear()
+                    await self._changed.wait()
+        except TimeoutError:
+            log_state(
+                log,
+                "lease",
+                "cut",
+                f"gateway: {len(self._leases)} connections of other VMs are still used",
+            )
+
     def end_all(self) -> None:
         """End all leases and roll back their transactions."""
         for key in list(self._leases):
@@ -146,6 +164,14 @@
                 )
 
     async def _on_open(self, message: OpenLease, caller: Caller) -> ForwardedAnswer:
+        self._opening_count += 1
+        try:
+            return await self._open(message, caller)
+        finally:
+            self._opening_count -= 1
+            self._changed.set()
+
+    async def _open(self, message: OpenLease, caller: Caller) -> ForwardedAnswer:
         refused = self._check(message)
         if refused is not None:
             return refused
@@ -248,8 +274,10 @@
         finally:
             lease.is_running = False
             lease.unused_until = deadline_in(lease.idle_s)
+            self._changed.set()
         if message.final or answer.state is TransactionState.IDLE:
             self._leases.pop(key, None)
+            self._changed.set()
             if answer.state is TransactionState.IDLE:
                 connection.release()
             else:
@@ -261,6 +289,7 @@
         lease = self._leases.pop(key, None)
         if lease is not None:
             lease.connection.discard()
+            self._changed.set()
 
     async def _on_ask_position(
         self, message: AskPosition, caller: Caller
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -223,6 +223,10 @@
         """Refuse statements of other VMs that do not belong to an open transaction."""
         self._leases.stop()
 
+    async def finish_leases(self, deadline: float) -> None:
+        """Wait for the statements and transactions of other VMs on this one."""
+        await self._leases.wait_until_ended(deadline)
+
     async def close(self) -> None:
         """Leave the fleet; all sessions must have ended."""
         self._leases.end_all()
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -293,6 +293,39 @@
     run(scenario)
 
 
+def test_planned_stop_of_the_owner_under_load_cuts_no_statement():
+    # Guards against statements that a stopping owner has accepted and cuts off.
+    async def scenario(fleet):
+        stopped = asyncio.Event()
+        answers = []
+
+        async def send(vm, number):
+            caller = await Caller.connect(vm.port)
+            while not stopped.is_set():
+                lines, _ = await caller.execute(f"WRITE x{number} 1")
+                answers.append(lines[-1])
+                lines, _ = await caller.execute(f"READ x{number}")
+                answers.append(lines[-1])
+
+        senders = [
+            asyncio.create_task(send(vm, number))
+            for number in range(4)
+            for vm in fleet.others
+        ]
+        await eventually(lambda: len(answers) > 100, 20.0)
+        owner = fleet.owner.node
+        owner.stop_accepting()
+        await owner.finish_leases(asyncio.get_running_loop().time() + 3.0)
+        await owner.close()
+        count = len(answers)
+        await eventually(lambda: len(answers) > count + 100, 20.0)
+        stopped.set()
+        await asyncio.gather(*senders)
+        assert [line for line in answers if not line.startswith("DONE")] == []
+
+    run(scenario)
+
+
 def test_change_of_primary_aborts_leased_transactions():
     # Guards against a commit at the old primary through its owner.
     async def scenario(fleet):
