Prefer strong VMs as leader, deputies and owners; spread copies of feeds

After each change of the configuration, 195 VMs fetched it from the leader within 1.2 s; its event loop was held up, 493 reports got no answer in 250 ms, the VMs lent their shares to deputies, and operations of 117 accounts below their rates were refused with "retry in 2000 ms". Ruled out: the link (a copy of the configuration is a few kilobytes when compressed) and changes of primary (none).

Change: VMs publish their processor time. A VM with less than others waits up to 0.4 s longer before it takes over, deputies are the strongest VMs that report, and owners are chosen in proportion. A VM gives 8 copies of a version and sends further VMs to those that have one. VMs report to a new leader within 0.3 s instead of up to 1 s.

--- a/citronwood/fleet/placement.py
+++ b/citronwood/fleet/placement.py
@@ -6,6 +6,7 @@
 while, so no role may rely on having a single holder.
 """
 
+import math
 from collections import deque
 from collections.abc import Iterable, Mapping, Sequence
 from hashlib import blake2b
@@ -27,6 +28,19 @@
     return sorted(members, key=lambda name: (_weight(key, name), name), reverse=True)
 
 
+def rank_weighted(key: str, weights: Mapping[str, float]) -> list[str]:
+    """Return the names ordered by preference for a key.
+
+    A name comes first for a share of all keys that is proportional to its weight.
+    """
+
+    def score(name: str) -> float:
+        hashed = int.from_bytes(_weight(key, name), "big")
+        return -weights[name] / math.log((hashed + 0.5) / 2**64)
+
+    return sorted(weights, key=lambda name: (score(name), name), reverse=True)
+
+
 def choose_gateways(
     group: str, live: Sequence[VmState], count: int = 2
 ) -> list[VmState]:
--- a/citronwood/platform/nodefile.py
+++ b/citronwood/platform/nodefile.py
@@ -22,7 +22,7 @@
     first port of the range that is reserved for traffic between VMs. ``store`` and
     ``promotions`` are the addresses of the platform's object store and of its service
     that promotes backend servers. ``grace_s`` is the time between the stop signal and
-    the forced termination.
+    the forced termination. ``processors`` is the processor time of the VM, in cores.
     """
 
     name: str
@@ -33,6 +33,7 @@
     store: Address
     promotions: Address
     grace_s: float
+    processors: float
 
 
 def parse_fields(text: str) -> dict[str, str]:
@@ -89,6 +90,8 @@
         promotions=required_address("cloud.address"),
         # The default is the grace period in the platform's documentation.
         grace_s=optional_number("bounds.grace_s", 6.0),
+        processors=optional_number("limits.cpu_share", 1.0)
+        * optional_number("limits.cores", 1.0),
     )
     if findings:
         raise SettingsError(findings)
--- a/citronwood/platform/process.py
+++ b/citronwood/platform/process.py
@@ -82,6 +82,7 @@
                 settings.failure_domain,
                 settings.callers.host,
                 settings.first_inner_port,
+                settings.processors,
             ),
             store,
             FEED_KINDS,
--- a/citronwood/relay/follower.py
+++ b/citronwood/relay/follower.py
@@ -33,6 +33,11 @@
 SOURCE_STALE_S = 1.8
 
 
+# After so many copies of a version, the VMs that ask are sent to one of those that have
+# a copy, because a few hundred copies hold up a VM for a second.
+MAX_DIRECT_COPIES = 8
+
+
 class _Source(NamedTuple):
     """VM with the most recent reads of the store, the versions found, and the time."""
 
@@ -41,6 +46,13 @@
     polled_at: float
 
 
+class _Holders(NamedTuple):
+    """VMs that got a copy of a version from this one."""
+
+    version: int
+    urls: list[str]
+
+
 class FeedFollower:
     """Updates all feeds.
 
@@ -64,6 +76,7 @@
         self._is_leader = is_leader
         self._scale_interval = scale_interval
         self._source = _Source("", {}, -1e9)
+        self._holders: dict[str, _Holders] = {}
         self._behind = asyncio.Event()
         self._rpc: Rpc | None = None
 
@@ -152,10 +165,15 @@
     async def _fetch_from(self, url: str, feed: Feed[Any]) -> None:
         if self._rpc is None:
             return
-        deadline = deadline_in(FETCH_TIMEOUT_S)
         try:
-            answer = await self._rpc.call(url, AskFeed(feed.kind), FeedAnswer, deadline)
+            answer = await self._ask(self._rpc, url, AskFeed(feed.kind, False))
             feed.receive(answer.version, answer.objects)
+            if answer.ask:
+                copy = await self._ask(self._rpc, answer.ask, AskFeed(feed.kind, True))
+                feed.receive(copy.version, copy.objects)
+            if feed.version < self._source.versions.get(feed.kind, 0):
+                answer = await self._ask(self._rpc, url, AskFeed(feed.kind, True))
+                feed.receive(answer.version, answer.objects)
         except (
             PeerUnavailableError,
             DeadlineExceededError,
@@ -165,8 +183,18 @@
             message = f"fleet: cannot fetch {feed.kind} from another VM: {error}"
             log_state(log, "feed", "failed", message)
 
-    async def _on_ask_feed(self, message: AskFeed, _: Caller) -> FeedAnswer:
+    async def _ask(self, rpc: Rpc, url: str, message: AskFeed) -> FeedAnswer:
+        return await rpc.call(url, message, FeedAnswer, deadline_in(FETCH_TIMEOUT_S))
+
+    async def _on_ask_feed(self, message: AskFeed, caller: Caller) -> FeedAnswer:
         feed = self._feeds.get(message.kind)
         if feed is None:
             return FeedAnswer(0, b"")
+        holders = self._holders.get(feed.kind)
+        if holders is None or holders.version != feed.version:
+            holders = self._holders[feed.kind] = _Holders(feed.version, [])
+        if not message.here and len(holders.urls) >= MAX_DIRECT_COPIES:
+            return FeedAnswer(0, b"", random.choice(holders.urls))
+        if len(holders.urls) < MAX_DIRECT_COPIES:
+            holders.urls.append(caller.url)
         return FeedAnswer(feed.version, feed.encode())
--- a/citronwood/relay/grantors.py
+++ b/citronwood/relay/grantors.py
@@ -15,7 +15,7 @@
 
 from citronwood.relay.clock import now
 from citronwood.relay.limiter import LENDER_TIMEOUT_S
-from citronwood.relay.registry import RegisteredVm
+from citronwood.relay.registry import Peer
 
 # With three, two deputies remain if the leader and one deputy fail at the same time.
 MAX_DEPUTIES = 3
@@ -33,16 +33,20 @@
 DEPUTY_RETRY_INTERVAL_S = 2 * SHARE_LEASE_S
 
 
-def choose_deputies(vms: Iterable[RegisteredVm], lenders: frozenset[str]) -> list[str]:
+def choose_deputies(vms: Iterable[Peer], lenders: frozenset[str]) -> list[str]:
     """Return the addresses of the VMs that grant when the leader does not answer.
 
     Candidates are the VMs that lend their shares to the leader, which shows that they
-    are running. They are sorted by a hash of the name, so that a VM that joins or
-    leaves does not change the order of the others.
+    are running. Those with the most processor time come first, and then they are sorted
+    by a hash of the name, so that a VM that joins or leaves does not change the order
+    of the others.
     """
     candidates = sorted(
         (vm for vm in vms if vm.name in lenders),
-        key=lambda vm: blake2b(vm.name.encode(), digest_size=8).digest(),
+        key=lambda vm: (
+            -vm.processors,
+            blake2b(vm.name.encode(), digest_size=8).digest(),
+        ),
     )
     return [vm.url for vm in candidates[:MAX_DEPUTIES]]
 
--- a/citronwood/relay/leadership.py
+++ b/citronwood/relay/leadership.py
@@ -42,6 +42,9 @@
 TAKEOVER_TIMEOUT_S = 3.5
 # Upper bound of the random delay that spreads the takeover attempts of several VMs.
 MAX_TAKEOVER_JITTER_S = 0.3
+# Further delay of the VM with the least processor time, because a leader answers the
+# reports of all VMs.
+MAX_WEAKNESS_DELAY_S = 0.4
 # How long an answer of the leader or of a deputy replaces a read of the store. Long
 # enough for two reports, or for a deputy's read of the store and a report to it.
 LEADER_CONTACT_S = 2.0
@@ -116,6 +119,9 @@
         Called with each changed state that this VM has written, and its version.
     scale_interval : callable
         Lengthens a read interval in a large fleet, to limit the reads of all VMs.
+    share_of_stronger : callable
+        Returns the share of the VMs that have more processor time than this one. The
+        more there are, the longer this VM waits before it takes over.
     """
 
     def __init__(
@@ -127,6 +133,7 @@
         url: str,
         on_write: Callable[[FleetState, int], None],
         scale_interval: Callable[[float], float] = lambda interval_s: interval_s,
+        share_of_stronger: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._store = store
         self._view = view
@@ -135,6 +142,7 @@
         self._url = url
         self._on_write = on_write
         self._scale_interval = scale_interval
+        self._share_of_stronger = share_of_stronger
         self._lease_until = 0.0
         self._renewal_seen_at = now()
         self._newest_version = 0
@@ -311,7 +319,10 @@
             return
         await asyncio.sleep(
             random.uniform(0, MAX_TAKEOVER_JITTER_S if not ended else 0.05)
+            + MAX_WEAKNESS_DELAY_S * self._share_of_stronger()
         )
+        if self._view.version > version:
+            return
         try:
             await self._become_leader(state, version)
         except VersionConflictError:
--- a/citronwood/relay/messages.py
+++ b/citronwood/relay/messages.py
@@ -106,16 +106,21 @@
 
 
 class AskFeed(NamedTuple):
-    """Request for all objects of a kind that another VM has read."""
+    """Request for all objects of a kind that another VM has read.
+
+    With ``here``, the answer must not name another VM.
+    """
 
     kind: str
+    here: bool
 
 
 class FeedAnswer(NamedTuple):
-    """Objects of a kind, encoded as JSON."""
+    """Objects of a kind, as compressed JSON, or the address of a VM that has them."""
 
     version: int
     objects: bytes
+    ask: str = ""
 
 
 class ForwardedStatement(NamedTuple):
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -36,7 +36,13 @@
 from citronwood.relay.model import BackendServer, Rules
 from citronwood.relay.owners import Owners, is_forwarding_useful
 from citronwood.relay.probes import STATUS_TIMEOUT_S, Probes
-from citronwood.relay.registry import VM_KIND, Peer, VmRegistry, decode_peers
+from citronwood.relay.registry import (
+    VM_KIND,
+    Peer,
+    VmRegistry,
+    decode_peers,
+    share_of_stronger,
+)
 from citronwood.relay.reports import Reports, has_ended
 from citronwood.relay.routing import SessionContext
 from citronwood.relay.servers import Servers
@@ -67,12 +73,13 @@
 
 
 class RelayOptions(NamedTuple):
-    """Name, failure domain and address of this VM."""
+    """Name, failure domain, address and processor time (in cores) of this VM."""
 
     name: str
     failure_domain: str
     inner_host: str
     inner_port: int
+    processors: float = 1.0
 
 
 class FeedKinds(NamedTuple):
@@ -128,6 +135,7 @@
             self._url,
             self._broadcast_state,
             self._scale_interval,
+            lambda: share_of_stronger(self._peers, options.name),
         )
         peers = Feed(VM_KIND, decode_peers, self._apply_peers, read_by_all=False)
         self._peers: tuple[Peer, ...] = ()
@@ -155,9 +163,7 @@
             store,
             self._view,
             self._leadership,
-            options.name,
-            self._url,
-            options.failure_domain,
+            Peer(options.name, self._url, options.failure_domain, options.processors),
             self._set_vm_count,
             self._on_registered,
             lambda: self._reports.is_deputy,
@@ -336,7 +342,10 @@
             self._metrics.count("fleet.malformed_state")
             log_state(log, "fleet_state", "malformed", f"fleet: {error}")
             return
+        previous = self._view.state
         self._view.update_state(state, message.version)
+        if previous is None or previous.leader_url != state.leader_url:
+            self._reports.report_soon()
 
     def _broadcast_state(self, state: FleetState, version: int) -> None:
         """Send a new state to the other VMs."""
@@ -483,5 +492,5 @@
             self._probes.close_idle()
             self._leases.end_unused()
             self._deputies = choose_deputies(
-                self._registry.vms, self._buckets.lenders - {self._options.name}
+                self._peers, self._buckets.lenders - {self._options.name}
             )
--- a/citronwood/relay/owners.py
+++ b/citronwood/relay/owners.py
@@ -4,7 +4,8 @@
 connection serves one account. If every VM opened its own connections, hardly any would
 be used twice, and opening them would take a good part of a server's slots. So one VM,
 the owner, holds the connections to a server, and the others forward statements to it.
-The owner is chosen by rendezvous hashing among the VMs of the server's failure domain.
+The owner is chosen by rendezvous hashing among the VMs of the server's failure domain,
+weighted by their processor time.
 VMs that know different lists of VMs may choose different owners for a while, which
 costs connections but does no harm.
 """
@@ -13,7 +14,7 @@
 from time import monotonic
 from typing import NamedTuple
 
-from citronwood.fleet.placement import rank
+from citronwood.fleet.placement import rank_weighted
 from citronwood.relay.model import BackendServer
 from citronwood.relay.registry import Peer
 
@@ -66,9 +67,10 @@
         key = (server.id, server.failure_domain)
         chosen = self._candidates.get(key)
         if chosen is None:
-            names = self._domains.get(server.failure_domain) or list(self._peers)
-            ranked = rank(f"owner/{server.id}", names)[:MAX_CANDIDATES]
-            chosen = tuple(self._peers[name] for name in ranked)
+            names = self._domains.get(server.failure_domain) or self._peers
+            weights = {name: self._peers[name].processors for name in names}
+            ranked = rank_weighted(f"owner/{server.id}", weights)
+            chosen = tuple(self._peers[name] for name in ranked[:MAX_CANDIDATES])
             self._candidates[key] = chosen
         return chosen
 
--- a/citronwood/relay/registry.py
+++ b/citronwood/relay/registry.py
@@ -9,7 +9,7 @@
 import logging
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, NamedTuple
 
 from citronwood.deadline import deadline_in
@@ -47,28 +47,50 @@
 
 
 class Peer(NamedTuple):
-    """Address and failure domain of a VM; equal for all of its processes."""
+    """Address, failure domain and processor time (in cores) of a VM.
+
+    They are equal for all processes of the VM.
+    """
 
     name: str
     url: str
     failure_domain: str
+    processors: float = 1.0
 
 
 def decode_peers(listing: Listing) -> tuple[Peer, ...]:
     """Return the VMs of the list in the order of their names."""
     return tuple(
-        Peer(name, str(value.get("url", "")), str(value.get("failure_domain", "")))
+        Peer(
+            name,
+            str(value.get("url", "")),
+            str(value.get("failure_domain", "")),
+            _to_processors(value.get("processors")),
+        )
         for name, (value, _) in sorted(listing.objects.items())
     )
 
 
+def _to_processors(value: Any) -> float:
+    is_usable = isinstance(value, int | float) and value > 0
+    return float(value) if is_usable else 1.0
+
+
+def share_of_stronger(peers: Sequence[Peer], name: str) -> float:
+    """Return the share of the VMs that have more processor time than a VM."""
+    own = next((peer.processors for peer in peers if peer.name == name), None)
+    if own is None:
+        return 0.0
+    return sum(peer.processors > own for peer in peers) / len(peers)
+
+
 class VmRegistry:
     """Maintains the entry of this VM and the list of all VMs.
 
     Parameters
     ----------
-    name, url, failure_domain : str
-        Name of this VM, its address for other VMs, and its failure domain.
+    vm : Peer
+        This VM.
     on_vm_count : callable
         Called with the number of VMs after the list was read, unless this VM gets the
         number from the leader.
@@ -84,9 +106,7 @@
         store: ObjectStore,
         view: PrimaryView,
         leadership: Leadership,
-        name: str,
-        url: str,
-        failure_domain: str,
+        vm: Peer,
         on_vm_count: Callable[[int], None],
         on_registered: Callable[[], Awaitable[None]],
         needs_list: Callable[[], bool] = lambda: False,
@@ -94,9 +114,8 @@
         self._store = store
         self._view = view
         self._leadership = leadership
-        self._name = name
-        self._url = url
-        self._failure_domain = failure_domain
+        self._vm = vm
+        self._name = vm.name
         self._on_vm_count = on_vm_count
         self._on_registered = on_registered
         self._needs_list = needs_list
@@ -182,8 +201,9 @@
             # Also differs from earlier registrations of this process.
             self._registration_id = time.time_ns() // 1_000_000
             value = {
-                "url": self._url,
-                "failure_domain": self._failure_domain,
+                "url": self._vm.url,
+                "failure_domain": self._vm.failure_domain,
+                "processors": self._vm.processors,
                 "process": self._registration_id,
             }
             try:
--- a/citronwood/relay/reports.py
+++ b/citronwood/relay/reports.py
@@ -35,6 +35,9 @@
 # Limit for the reports of all VMs together, which a leader can answer with a third of a
 # core beside its own traffic. It lengthens the interval in fleets of over 100 VMs.
 MAX_REPORTS_PER_S = 200.0
+# Time in which all VMs report to a new leader. It grants from the shares of the VMs
+# that have reported, so that until then it refuses operations below the rates.
+MAX_REPORT_DELAY_S = 0.3
 CALL_TIMEOUT_S = 0.25
 ENDED_CHECK_TIMEOUT_S = 0.3
 
@@ -137,6 +140,11 @@
         """Return whether the state names this process of this VM as leader."""
         return (state.leader, state.leader_process) == (self._name, self._process)
 
+    def report_soon(self) -> None:
+        """Report within ``MAX_REPORT_DELAY_S``, spread over the VMs."""
+        delay_s = random.uniform(0.0, MAX_REPORT_DELAY_S)
+        asyncio.get_running_loop().call_later(delay_s, self._report_now.set)
+
     async def run(self, pop_unused: Callable[[], dict[str, int]]) -> None:
         """Report periodically, without end; ``pop_unused`` returns expired grants."""
         while True:
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -402,6 +402,20 @@
     assert max(chosen.count(name) for name in set(chosen)) <= 25
 
 
+def test_vms_with_more_processor_time_own_more_servers():
+    owners = Owners("vm0")
+    peers = make_peers(30, "a")
+    owners.set_peers(
+        peer._replace(processors=4.0 if number < 10 else 1.0)
+        for number, peer in enumerate(peers)
+    )
+    strong = {peer.name for peer in peers[:10]}
+    chosen = [owners.candidates(make_server(f"s{n}"))[0].name for n in range(600)]
+    # 10 VMs with 40 of 60 cores.
+    share = sum(name in strong for name in chosen) / len(chosen)
+    assert 0.57 < share < 0.77
+
+
 def test_forwarding_is_useful_only_where_connections_are_scarce():
     assert not is_forwarding_useful(60, 2, 2)
     assert is_forwarding_useful(180, 195, 141)
--- a/tests/test_relay_grantors.py
+++ b/tests/test_relay_grantors.py
@@ -19,7 +19,7 @@
 from citronwood.relay.limiter import AccountBuckets, AccountLimiter, Grants
 from citronwood.relay.messages import LeaderAnswer, ReportToLeader, StoreReads
 from citronwood.relay.model import Account, Rules
-from citronwood.relay.registry import RegisteredVm
+from citronwood.relay.registry import Peer
 from citronwood.relay.reports import REPORT_INTERVAL_S, Reports
 from citronwood.relay.view import FleetState
 
@@ -92,7 +92,7 @@
         target = next(vm for vm in self.fleet.vms if vm.url == url)
         if not self.fleet.is_connected(self, target):
             raise DeadlineExceededError("no answer")
-        caller = RegisteredVm(f"vm{self.number}", self.url, 1)
+        caller = Peer(f"vm{self.number}", self.url, "z")
         if isinstance(message, ReportToLeader):
             return target.answer_report(caller.name, message)
         return await target.on_ask_deputy(message, caller)
@@ -104,7 +104,7 @@
             grants = self.buckets.grant(vm, report.wanted, report.unused)
         else:
             self.buckets.remove_lender(vm)
-        vms = [RegisteredVm(f"vm{peer.number}", peer.url, 1) for peer in self.fleet.vms]
+        vms = [Peer(f"vm{peer.number}", peer.url, "z") for peer in self.fleet.vms]
         deputies = choose_deputies(vms, self.buckets.lenders)
         return LeaderAnswer(
             leads, leads, READS, VMS, grants.granted, grants.retry_ms, {},
@@ -303,7 +303,7 @@
 
 
 def test_deputies_are_vms_that_reported():
-    vms = [RegisteredVm(f"vm{number}", f"tcp://vm{number}:1", 1) for number in range(9)]
+    vms = [Peer(f"vm{number}", f"tcp://vm{number}:1", "z") for number in range(9)]
     reporting = frozenset(f"vm{number}" for number in range(1, 9))
     chosen = choose_deputies(vms, reporting)
     assert len(chosen) == MAX_DEPUTIES
@@ -352,3 +352,13 @@
     assert choice.choose("former") == ""
     choice.set_deputies(["former", "d2"])
     assert choice.choose("") == "former"
+
+
+def test_vms_with_more_processor_time_become_deputies():
+    # Guards against a deputy, and with it the next leader, on the weakest VM.
+    vms = [
+        Peer(f"vm{number}", f"tcp://vm{number}:1", "z", 2.0 if number > 5 else 0.5)
+        for number in range(9)
+    ]
+    deputies = choose_deputies(vms, frozenset(vm.name for vm in vms))
+    assert set(deputies) == {"tcp://vm6:1", "tcp://vm7:1", "tcp://vm8:1"}
--- a/tests/test_relay_registry.py
+++ b/tests/test_relay_registry.py
@@ -4,12 +4,16 @@
 
 import pytest
 
+from citronwood.platform.api import Listing, VersionedObject
 from citronwood.relay import registry as registry_module
 from citronwood.relay.registry import (
     ABSENT_AFTER_S,
     ABSENT_REMOVAL_DELAY_S,
     VM_KIND,
+    Peer,
     VmRegistry,
+    decode_peers,
+    share_of_stronger,
 )
 from citronwood.relay.view import PrimaryView
 from citronwood.tasks import cancel_tasks
@@ -63,9 +67,7 @@
             self.store,
             self.view,
             self.leadership,
-            "me",
-            "tcp://me",
-            "z1",
+            Peer("me", "tcp://me", "z1"),
             self.counts.append,
             self._on_registered,
             lambda: self.is_deputy,
@@ -202,3 +204,19 @@
         assert len(world.store.calls) <= calls + 1
 
     world.run(scenario)
+
+
+def test_share_of_stronger_vms():
+    peers = decode_peers(
+        Listing(
+            {
+                "weak": VersionedObject({"url": "u1", "processors": 0.5}, 1),
+                "strong": VersionedObject({"url": "u2", "processors": 2}, 2),
+                "malformed": VersionedObject({"processors": "many"}, 3),
+            },
+            3,
+        )
+    )
+    assert share_of_stronger(peers, "weak") == pytest.approx(2 / 3)
+    assert share_of_stronger(peers, "strong") == 0
+    assert share_of_stronger(peers, "unknown") == 0
