Refuse at once what waits for a primary in vain; continue leases of a change

Change: an absence of a primary is expected to last as long again as it has lasted so far. A statement with less time left is refused at once, with that time as the hint to return; one with more time waits as before. A leader that continues a change counts the leases from when it learned of the change, not from when it leads.

--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -243,7 +243,7 @@
         ]
 
     async def _replace_primary(self, group: str, current: GroupState) -> None:
-        written_at = now()
+        written_at = self._view.change_seen_at(group)
         await self._fence_all_vms(group, current, written_at)
         new = await self._promote_lasting(group, current)
         await self._write_group(group, new)
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -14,6 +14,7 @@
 from citronwood.inner.rpc import Caller, Rpc
 from citronwood.metrics import Metrics
 from citronwood.platform.api import Listing, ObjectStore
+from citronwood.relay.absence import PrimaryAbsences
 from citronwood.relay.clock import now
 from citronwood.relay.failover import Failover, Promotion
 from citronwood.relay.feeds import Feed
@@ -180,6 +181,7 @@
             self._probes,
             self._limiter,
             self._forwarding,
+            PrimaryAbsences(),
         )
 
     @property
--- a/citronwood/relay/routing.py
+++ b/citronwood/relay/routing.py
@@ -16,6 +16,7 @@
     OverloadedError,
     StatementRefusedError,
 )
+from citronwood.relay.absence import PrimaryAbsences
 from citronwood.relay.clock import now
 from citronwood.relay.model import (
     Account,
@@ -37,8 +38,6 @@
 FIRST_BACKOFF_S = 0.03
 # A quarter of the shortest statement timeout of the known routes.
 MAX_BACKOFF_S = 0.25
-# Retry hint for callers of a group without a primary: a failover takes about as long.
-FAILOVER_RETRY_S = 0.5
 OVERLOAD_RETRY_S = 0.25
 # A new position is requested when the age of the newest exceeds this fraction of the
 # accepted age.
@@ -119,6 +118,7 @@
     positions: PositionReader
     admission: Admission
     forwarding: Forwarding
+    absences: PrimaryAbsences
 
 
 async def find_floor(
@@ -253,19 +253,25 @@
             raise
 
     async def wait_for_primary(self, route: Route, deadline: float) -> ServerPool:
-        """Return the group's primary; wait until the deadline if there is none."""
-        view = self._context.view
+        """Return the group's primary; wait for one that is expected in time."""
+        view, absences = self._context.view, self._context.absences
         try:
             async with timeout_at(deadline):
                 while True:
                     primary = view.primary_of(route.group)
                     pool = self._context.servers.get(primary) if primary else None
                     if pool is not None:
+                        absences.note_present(route.group)
                         return pool
+                    absences.note_missing(route.group)
+                    if not absences.may_end_within(route.group, time_left(deadline)):
+                        break
                     await view.wait_for_change()
         except TimeoutError:
-            text = retry_message("the group has no primary", FAILOVER_RETRY_S)
-            raise refusal(Reason.OVERLOADED, text) from None
+            pass
+        retry_s = absences.retry_s(route.group)
+        text = retry_message("the group has no primary", retry_s)
+        raise refusal(Reason.OVERLOADED, text)
 
     async def choose_reader(
         self,
--- a/citronwood/relay/view.py
+++ b/citronwood/relay/view.py
@@ -62,6 +62,7 @@
         self._valid_until = 0.0
         self._registered_at = math.inf
         self._fenced: dict[str, int] = {}
+        self._change_seen_at: dict[str, tuple[int, float]] = {}
         self._changed = asyncio.Event()
 
     @property
@@ -95,6 +96,9 @@
             return
         self._state = state
         self._version = version
+        for group, named in state.groups.items():
+            if self._change_seen_at.get(group, (0, 0.0))[0] != named.change:
+                self._change_seen_at[group] = (named.change, now())
         for group, change in list(self._fenced.items()):
             group_state = state.groups.get(group)
             if group_state is not None and (
@@ -140,6 +144,14 @@
             return
         self._fenced[group] = max(change, self._fenced.get(group, 0))
 
+    def change_seen_at(self, group: str) -> float:
+        """Return when this process learned of the newest change of a group.
+
+        Leases on earlier states began before that. A leader that continues a change of
+        its predecessor therefore need not wait for a whole lease again.
+        """
+        return self._change_seen_at[group][1]
+
     def primary_of(self, group: str) -> str | None:
         """Return the backend server that may be used as primary now, or None."""
         if self._state is None or group in self._fenced or not self.is_valid:
--- a/tests/test_relay_view.py
+++ b/tests/test_relay_view.py
@@ -132,3 +132,17 @@
     assert positions.covering(6.5) is None
     assert positions.clamp(Position(1, 10)) == Position(2, 8)
     assert positions.clamp(Position(2, 9)) == Position(2, 9)
+
+
+def test_time_of_a_change_is_that_of_its_first_state(clock):
+    # A leader that continues a change would otherwise wait for a whole lease again.
+    view = registered_view()
+    view.update_state(state(), 1)
+    clock.time += 10.0
+    view.update_state(state(changing=True, change=2), 2)
+    began_at = clock.time
+    clock.time += 3.0
+    view.update_state(state(changing=True, change=2)._replace(leader="other"), 3)
+    assert view.change_seen_at("g") == began_at
+    view.update_state(state("b", 2, changing=True, change=3), 4)
+    assert view.change_seen_at("g") == clock.time
