Reserve the ports of all tests with the kernel

Cause: tests took ports from a range by worker number, so that two test runs on a machine could give the same port to two processes ("Address already in use" in test_replicas_receive_before_they_apply). Change: each port is chosen by the kernel and stays bound, without listening, until the test process ends; consecutive ports are bound one by one.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,64 +1,43 @@
 """Processes and ports for integration tests."""
 
-import itertools
-import os
-import random
 import socket
 import subprocess
 import sys
 import time
 
-# The ports are below the kernel's ephemeral range: an outgoing connection may take a
-# port of that range after it was chosen and before a server listens on it. So that no
-# other test takes the port in that time either, each parallel test worker has its own
-# range. Ports are taken from it in sequence, because a random choice can give one fleet
-# the same port twice.
-PORTS_PER_WORKER = 2_500
-_worker_number = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-_worker_first_port = 10_000 + _worker_number % 8 * PORTS_PER_WORKER
-_random_offset = random.randrange(PORTS_PER_WORKER)
-_ports = itertools.cycle(
-    _worker_first_port + (_random_offset + index) % PORTS_PER_WORKER
-    for index in range(PORTS_PER_WORKER)
-)
+MAX_ATTEMPTS = 100
 _reserving_sockets = []
 
 
 def free_port(count=1):
-    """Return the first of ``count`` consecutive free ports."""
-    for _ in range(PORTS_PER_WORKER):
-        ports = [next(_ports) for _ in range(count)]
-        are_consecutive = ports[-1] - ports[0] == count - 1
-        if are_consecutive and all(_is_free(port) for port in ports):
-            return ports[0]
+    """Reserve ``count`` consecutive ports and return the first one."""
+    for _ in range(MAX_ATTEMPTS):
+        first = reserve_port()
+        try:
+            for port in range(first + 1, first + count):
+                reserve_port(port=port)
+        except OSError:
+            continue
+        return first
     raise AssertionError("no free ports")
 
 
-def reserve_port(host="127.0.0.1"):
-    """Reserve a port that the kernel chooses for a server that sets SO_REUSEADDR.
+def reserve_port(host="127.0.0.1", port=0):
+    """Reserve a port for a server that sets SO_REUSEADDR; 0 lets the kernel choose it.
 
     Until the process ends, a socket that is bound but does not listen keeps outgoing
-    connections and other tests from using the port. The servers of asyncio set
-    SO_REUSEADDR.
+    connections and other tests, also those of other test runs, from using the port. The
+    servers of asyncio set SO_REUSEADDR.
     """
     reserving_socket = socket.socket()
-    reserving_socket.bind((host, 0))
+    _reserving_sockets.append(reserving_socket)
+    reserving_socket.bind((host, port))
     # The option is set after binding, so that the kernel cannot choose a port that
     # another socket reserves.
     reserving_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    _reserving_sockets.append(reserving_socket)
     return reserving_socket.getsockname()[1]
 
 
-def _is_free(port):
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-        return True
-
-
 def wait_for_port(port, process=None, timeout_s=15.0):
     deadline = time.monotonic() + timeout_s
     while time.monotonic() < deadline:
