Treat malformed messages of forwarded statements as lost answers

Found while looking for the faults of other systems: an answer of an owner with an unknown state or reason raised ValueError in the session of the caller, which ended its connection without an answer. Change: such an answer to a lease has no effect and the next VM is asked; an answer to a statement on a lease is an unknown outcome. A statement that is too long for a message between VMs is sent by the VM itself.

--- a/citronwood/relay/forwarding.py
+++ b/citronwood/relay/forwarding.py
@@ -42,7 +42,7 @@
 from citronwood.relay.pool import SessionSettings
 from citronwood.relay.positions import Observation
 from citronwood.relay.routing import Use
-from citronwood.relay.statement import Answer, Statement
+from citronwood.relay.statement import Answer, Statement, TransactionState
 
 log = logging.getLogger(__name__)
 
@@ -146,14 +146,14 @@
         self.asked_at = now()
         try:
             answer = await self._forwarding.run(self._url, message, deadline)
-        except ConnectionLostError:
+            decoded = decode_answer(answer)
+        except MessageError as error:
             self.discard()
-            raise
+            raise ConnectionLostError(f"malformed: {error}", sent=True) from None
         except BaseException:
             self.discard()
             raise
-        decoded = decode_answer(answer)
-        if message.final or decoded.state.value == "idle":
+        if message.final or decoded.state is TransactionState.IDLE:
             # The owner has given the connection back.
             self._is_held = False
         return decoded
@@ -202,7 +202,12 @@
                 refused = error
                 continue
             if answer is not None:
-                connection.note_opened(use, answer)
+                try:
+                    connection.note_opened(use, answer)
+                except MessageError as error:
+                    log.warning("gateway: malformed answer of %s: %s", url, error)
+                    self.end_lease(url, connection.lease)
+                    continue
                 return connection
             if has_passed(deadline):
                 raise TimeoutError("the owner of the server gave no answer in time")
@@ -271,6 +276,10 @@
             self._health.note_silent(url)
             self.end_lease(url, message.lease)
             return None
+        except MessageError as error:
+            # Too long for a message between VMs; this VM can send it to the server.
+            log.debug("gateway: not forwarded: %s", error)
+            return None
         except (DeadlineExceededError, CallFailedError) as error:
             log.debug("gateway: %s gave no answer: %s", url, error)
             self.end_lease(url, message.lease)
--- a/citronwood/relay/leases.py
+++ b/citronwood/relay/leases.py
@@ -16,6 +16,7 @@
 from citronwood.errors import (
     BackendUnavailableError,
     ConnectionLostError,
+    MessageError,
     NoPositionError,
     OverloadedError,
     ServerFullError,
@@ -359,10 +360,14 @@
 
 
 def decode_statement(message: ForwardedStatement) -> Statement:
-    """Return the statement of a message."""
+    """Return the statement of a message; raises ``MessageError``."""
+    try:
+        verb = Verb(message.verb)
+    except ValueError as error:
+        raise MessageError("malformed", str(error)) from None
     return Statement(
         message.id,
-        Verb(message.verb),
+        verb,
         message.text,
         message.name,
         message.value,
@@ -404,15 +409,13 @@
 
 
 def decode_answer(message: ForwardedAnswer) -> Answer:
-    """Return the answer in a message."""
+    """Return the answer in a message; raises ``MessageError``."""
     failure = None
-    if message.reason:
-        failure = Failure(Reason(message.reason), message.message)
+    try:
+        if message.reason:
+            failure = Failure(Reason(message.reason), message.message)
+        state = TransactionState(message.state)
+    except ValueError as error:
+        raise MessageError("malformed", str(error)) from None
     position = None if message.position is None else Position(*message.position)
-    return Answer(
-        tuple(message.rows),
-        message.signature,
-        failure,
-        TransactionState(message.state),
-        position,
-    )
+    return Answer(tuple(message.rows), message.signature, failure, state, position)
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -5,15 +5,24 @@
 """
 
 import asyncio
+from contextlib import suppress
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from citronwood.errors import DeadlineExceededError
+from citronwood.deadline import deadline_in
+from citronwood.errors import CitronwoodError, DeadlineExceededError, MessageError
 from citronwood.relay import forwarding as forwarding_module
 from citronwood.relay import leases as leases_module
 from citronwood.relay import owners as owners_module
-from citronwood.relay.leases import LeaseOutcome
-from citronwood.relay.messages import OpenLease, RunInLease
+from citronwood.relay.leases import LeaseOutcome, decode_answer
+from citronwood.relay.messages import (
+    ForwardedAnswer,
+    ForwardedStatement,
+    OpenLease,
+    RunInLease,
+)
 from citronwood.relay.model import BackendServer, Role
 from citronwood.relay.owners import (
     LEAVING_S,
@@ -28,7 +37,7 @@
 from citronwood.relay.registry import Peer
 from tests.fleet_helpers import eventually
 from tests.relay_standins import Caller, configuration
-from tests.test_relay_fleet import fleet
+from tests.test_relay_fleet import Vm, fleet
 
 VM_COUNT = 4
 SCARCE_CONNECTIONS = 6
@@ -359,6 +368,132 @@
     run(scenario)
 
 
+def malformed_answers():
+    text = st.text(max_size=8)
+    return st.builds(
+        ForwardedAnswer,
+        outcome=st.sampled_from(["answered", "lost", "unusable", "other"]),
+        reason=st.one_of(text, st.just("overloaded")),
+        state=st.one_of(text, st.just("idle")),
+        rows=st.lists(text, max_size=2).map(tuple),
+        position=st.one_of(st.none(), st.just((1, 2))),
+    )
+
+
+@given(answer=malformed_answers())
+def test_malformed_answers_are_decoded_or_refused(answer):
+    # Guards against an unexpected error that ends the caller's session.
+    try:
+        decode_answer(answer)
+    except MessageError:
+        return
+
+
+@pytest.mark.parametrize("message_type", [OpenLease, RunInLease])
+def test_malformed_answer_of_the_owner_costs_no_session(message_type):
+    async def scenario(fleet):
+        caller = await Caller.connect(fleet.sender.port)
+        rpc = fleet.sender.node._rpc
+        call = rpc.call
+
+        async def call_and_garble(url, message, *arguments, **options):
+            answer = await call(url, message, *arguments, **options)
+            if isinstance(message, message_type):
+                return answer._replace(state="other", outcome="answered")
+            return answer
+
+        rpc.call = call_and_garble
+        lines, _ = await caller.execute("WRITE x 1")
+        expected = "DONE" if message_type is OpenLease else "ERROR UNKNOWN"
+        assert lines[-1].startswith(expected)
+        assert fleet.group.writes == [("x", "1")]
+        lines, _ = await caller.execute("READ x")
+        assert lines[0] == "ROW 1"
+
+    run(scenario)
+
+
+def test_malformed_requests_do_not_harm_the_owner():
+    async def scenario(fleet):
+        statement = ForwardedStatement("r1", "other", "READ x", "", "", False, "")
+        owner = fleet.owner.node
+        good = OpenLease(
+            1, "shop", "acme", "orders", "orders-0", 1, None, None, {}, "", None
+        )
+        for message in (
+            good._replace(statement=statement),
+            good._replace(server="none"),
+            good._replace(group="none"),
+            good._replace(begin="other", account=""),
+            RunInLease(99, {}, None, True),
+            RunInLease(99, {}, statement, True),
+        ):
+            with suppress(CitronwoodError):
+                await fleet.sender.node._rpc.call(
+                    owner._url, message, ForwardedAnswer, deadline_in(1.0)
+                )
+        caller = await Caller.connect(fleet.sender.port)
+        lines, _ = await caller.execute("WRITE x 1")
+        assert lines[0].startswith("DONE")
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("via_owner", [True, False])
+def test_withdrawn_key_stays_withdrawn_after_a_restart(via_owner):
+    # Guards against a restarted VM that takes over an old configuration.
+    async def scenario(fleet):
+        vm = fleet.owner if via_owner else fleet.sender
+        await vm.listener.stop(0.0)
+        await vm.node.close()
+        fleet.store.put_directly(
+            "config", "main", configuration(version=2, keys=["key-2"], max_conns=6)
+        )
+        others = [other for other in fleet.vms if other is not vm]
+        await eventually(
+            lambda: all(other.node.rules.version == 2 for other in others), 20.0
+        )
+        restarted = Vm(vm.node._options.name, fleet.store, fleet.group)
+        fleet.vms.append(restarted)
+        await restarted.start()
+        with pytest.raises(ConnectionRefusedError, match="NOAUTH"):
+            await Caller.connect(restarted.port, key="key-1")
+        caller = await Caller.connect(restarted.port, key="key-2")
+        lines, _ = await caller.execute("WRITE x 1")
+        assert lines[0].startswith("DONE")
+
+    run(scenario)
+
+
+def test_server_that_left_is_not_used_after_a_restart():
+    async def scenario(fleet):
+        vm = fleet.sender
+        await vm.listener.stop(0.0)
+        await vm.node.close()
+        gone = fleet.group.servers[2]
+        await fleet.store.delete("servers", gone.id, 0, 0.0)
+        restarted = Vm(vm.node._options.name, fleet.store, fleet.group)
+        fleet.vms.append(restarted)
+        await restarted.start()
+        await eventually(
+            lambda: all(
+                other.node._servers.get(gone.id) is None
+                for other in fleet.vms
+                if other is not vm
+            ),
+            20.0,
+        )
+        seen = len(gone.statements)
+        caller = await Caller.connect(restarted.port)
+        await caller.execute("WRITE x 1")
+        for _ in range(20):
+            lines, _ = await caller.execute("READ x")
+            assert lines[0] == "ROW 1"
+        assert all(request == "-" for request, _ in gone.statements[seen:])
+
+    run(scenario)
+
+
 def make_server(server_id="s1", domain="a"):
     return BackendServer(server_id, "g", "h", 1, domain, Role.PRIMARY, False, 5, 1)
 
