Keep forwarding while a failure domain is lost

Cause (found by reading): three silent VMs within a second made a VM forward nothing for 2 s. Change: only while no VM has answered in that second. A call that is cancelled ends its lease.

--- a/citronwood/relay/forwarding.py
+++ b/citronwood/relay/forwarding.py
@@ -6,6 +6,7 @@
 only what was sent on a leased connection has an unknown outcome.
 """
 
+import asyncio
 import logging
 from collections.abc import Callable
 from itertools import count
@@ -284,12 +285,16 @@
             log.debug("gateway: %s gave no answer: %s", url, error)
             self.end_lease(url, message.lease)
             return None
+        except asyncio.CancelledError:
+            self.end_lease(url, message.lease)
+            raise
         return self._evaluate(url, server, answer)
 
     def _evaluate(
         self, url: str, server: BackendServer, answer: ForwardedAnswer
     ) -> ForwardedAnswer | None:
         """Return the answer, None if another VM may serve the request, or raise."""
+        self._health.note_answered()
         outcome = answer.outcome
         if outcome == LeaseOutcome.OVERLOADED:
             raise OverloadedError(answer.excess_ms / 1000)
--- a/citronwood/relay/limiter.py
+++ b/citronwood/relay/limiter.py
@@ -76,8 +76,8 @@
 
     A bucket starts with only ``INITIAL_FILL_S`` seconds' worth of tokens, because
     grants of the previous grantor may still be in use, but with one token at least: the
-    many accounts with a low rate would all be refused after a change of grantor. The buckets also start anew when
-    no VM has lent its shares for a while.
+    many accounts with a low rate would all be refused after a change of grantor. The
+    buckets also start anew when no VM has lent its shares for a while.
     """
 
     INITIAL_FILL_S = 0.25
--- a/citronwood/relay/owners.py
+++ b/citronwood/relay/owners.py
@@ -25,8 +25,9 @@
 SILENT_RETRY_S = 0.5
 # A stopping VM refuses statements for most of its grace period.
 LEAVING_S = 4.0
-# After so many VMs fell silent within ``OWN_FAILURE_WINDOW_S``, this VM's own
-# connections are the likelier cause, and it forwards nothing for ``OWN_FAILURE_S``.
+# After so many VMs fell silent and none answered within ``OWN_FAILURE_WINDOW_S``, this
+# VM's own connections are the likelier cause, and it forwards nothing for
+# ``OWN_FAILURE_S``.
 OWN_FAILURE_COUNT = 3
 OWN_FAILURE_WINDOW_S = 1.0
 OWN_FAILURE_S = 2.0
@@ -99,18 +100,22 @@
         self._silent: dict[str, _Silence] = {}
         self._leaving_until: dict[str, float] = {}
         self._refused_until: dict[tuple[str, str], float] = {}
+        self._answered_at = 0.0
         self._own_failure_until = 0.0
 
+    def note_answered(self) -> None:
+        """Record that some VM answered."""
+        self._answered_at = monotonic()
+
     def note_silent(self, url: str) -> None:
         """Record that a VM gave no sign of life in time."""
         time = monotonic()
         self._silent[url] = _Silence(time, time + SILENT_RETRY_S)
+        cutoff = time - OWN_FAILURE_WINDOW_S
         recent = [
-            silence
-            for silence in self._silent.values()
-            if silence.since > time - OWN_FAILURE_WINDOW_S
+            silence for silence in self._silent.values() if silence.since > cutoff
         ]
-        if len(recent) >= OWN_FAILURE_COUNT:
+        if len(recent) >= OWN_FAILURE_COUNT and self._answered_at < cutoff:
             self._own_failure_until = time + OWN_FAILURE_S
 
     def note_leaving(self, url: str) -> None:
