Keep an owner's connections of all accounts open

Change: idle connections make room only beyond the larger of both limits. Test: 40 accounts, 5 in use at once, 40 kept: 40 connections opened for 120 statements, 120 before.

--- a/citronwood/relay/pool.py
+++ b/citronwood/relay/pool.py
@@ -481,7 +481,9 @@
     async def _open(self, account: str, deadline: float) -> PooledConnection:
         if not self.is_usable:
             raise BackendUnavailableError(f"{self.server.id} refused lately")
-        if self._idle and len(self._idle) + self._queue.in_use > self._queue.capacity:
+        # An owner may keep more connections than may be in use at once.
+        limit = max(self._queue.capacity, self._max_idle)
+        if self._idle and len(self._idle) + self._queue.in_use > limit:
             self._idle.pop(0).raw.abort()
         server = self.server
         try:
--- a/tests/test_relay_pool.py
+++ b/tests/test_relay_pool.py
@@ -200,3 +200,27 @@
     # Without the limit, nearly all of them wait in vain.
     served, _ = replay_idle_transactions(in_transaction=False)
     assert served < 50
+
+
+def test_owner_keeps_a_connection_for_each_account():
+    # Guards against connections that are opened anew for each statement because fewer
+    # may be in use than there are accounts.
+    async def scenario():
+        server = Server(cap=200)
+        pool = ServerPool(SERVER, server.connect, 5)
+        pool.resize(5, 40)
+        for _ in range(3):
+            for number in range(40):
+                connection = await pool.acquire(
+                    f"a{number}",
+                    SessionSettings(),
+                    asyncio.get_running_loop().time() + 5,
+                )
+                pool.release(connection)
+        assert server.connect_attempts == 40
+        connection = await pool.acquire(
+            "one more", SessionSettings(), asyncio.get_running_loop().time() + 5
+        )
+        assert server.connections == 40
+
+    asyncio.run(scenario())
