--- a/citronwood/relay/forwarding.py
+++ b/citronwood/relay/forwarding.py
@@ -12,6 +12,7 @@
 from itertools import count
 
 from citronwood.deadline import deadline_in, has_passed
+from citronwood.decisions import log_state
 from citronwood.errors import (
     CallFailedError,
     ConnectionLostError,
@@ -206,7 +207,8 @@
                 try:
                     connection.note_opened(use, answer)
                 except MessageError as error:
-                    log.warning("gateway: malformed answer of %s: %s", url, error)
+                    text = f"gateway: malformed answer of {url}: {error}"
+                    log_state(log, "forward", "malformed", text)
                     self.end_lease(url, connection.lease)
                     continue
                 return connection
@@ -273,16 +275,16 @@
                 silence_s=SILENCE_S,
             )
         except (PeerUnavailableError, PeerSilentError) as error:
-            log.debug("gateway: %s cannot be asked: %s", url, error)
+            log_state(log, "forward", "silent", f"gateway: {url} is silent: {error}")
             self._health.note_silent(url)
             self.end_lease(url, message.lease)
             return None
         except MessageError as error:
             # Too long for a message between VMs; this VM can send it to the server.
-            log.debug("gateway: not forwarded: %s", error)
+            log_state(log, "forward", "too_long", f"gateway: not forwarded: {error}")
             return None
         except (DeadlineExceededError, CallFailedError) as error:
-            log.debug("gateway: %s gave no answer: %s", url, error)
+            log_state(log, "forward", "failed", f"gateway: no answer of {url}: {error}")
             self.end_lease(url, message.lease)
             return None
         except asyncio.CancelledError:
