Forget an absence of a primary whose end was not seen

Cause (found by reading): a VM with few statements may not meet the group between two absences, and counted the second one from the start of the first; its statements would have been refused at once in a short change of primary. Change: an absence that no statement met for 2 s counts as ended. Test: fails before (refused), passes.

--- a/citronwood/relay/absence.py
+++ b/citronwood/relay/absence.py
@@ -7,25 +7,39 @@
 only if it has more time left than that. Its caller is told to return after that time.
 """
 
+from typing import NamedTuple
+
 from citronwood.relay.clock import now
 
+# An absence that no statement has met for this time counts as ended, because a VM with
+# few statements may not have seen its end.
+MAX_GAP_S = 2.0
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 2.0
 
 
+class _Absence(NamedTuple):
+    since: float
+    last_met_at: float
+
+
 class PrimaryAbsences:
     """Groups that had no usable primary when it was last needed."""
 
     def __init__(self) -> None:
-        self._since: dict[str, float] = {}
+        self._absences: dict[str, _Absence] = {}
 
     def note_present(self, group: str) -> None:
         """Record that the group has a primary."""
-        self._since.pop(group, None)
+        self._absences.pop(group, None)
 
     def note_missing(self, group: str) -> None:
         """Record that the group has no primary."""
-        self._since.setdefault(group, now())
+        time = now()
+        known = self._absences.get(group)
+        if known is None or time - known.last_met_at > MAX_GAP_S:
+            known = _Absence(time, time)
+        self._absences[group] = _Absence(known.since, time)
 
     def may_end_within(self, group: str, time_left_s: float) -> bool:
         """Whether a primary is expected within this time."""
@@ -36,5 +50,5 @@
         return min(MAX_RETRY_S, max(MIN_RETRY_S, self._duration_s(group)))
 
     def _duration_s(self, group: str) -> float:
-        time = now()
-        return time - self._since.get(group, time)
+        known = self._absences.get(group)
+        return 0.0 if known is None else now() - known.since
--- a/tests/test_relay_routing.py
+++ b/tests/test_relay_routing.py
@@ -114,3 +114,18 @@
 def test_callers_with_time_left_are_served_after_a_long_change(monkeypatch):
     waits = replay_absence(monkeypatch, absence_s=3.0, timeout_s=5.0)
     assert all(served for _, served in waits.values())
+
+
+def test_absence_whose_end_was_not_seen_does_not_count_for_the_next_one(monkeypatch):
+    # Guards against refusals at once in a short change of primary at a VM that sends
+    # few statements.
+    time = [100.0]
+    monkeypatch.setattr(absence_module, "now", lambda: time[0])
+    absences = PrimaryAbsences()
+    absences.note_missing("g")
+    time[0] += 1.0
+    absences.note_missing("g")
+    assert not absences.may_end_within("g", 0.6)
+    time[0] += 60.0
+    absences.note_missing("g")
+    assert absences.may_end_within("g", 0.6)
