Review: show statements that run with another session's values

A member fails part of its requests. A SET that it has run and answered with FAILED leaves its value on a connection that goes back to the pool as if nothing had been set; later sessions of the account run with that value.

The scripts end after 112 s, and on SIGTERM, with all that they have started.

--- a/review/standins.py
+++ b/review/standins.py
@@ -28,6 +28,7 @@
 HEARTBEAT_S = 1.2
 HANDSHAKE_S = 0.012
 METRICS_PORT = 9464
+TIME_LIMIT_S = 112.0
 
 
 class Record:
@@ -197,6 +198,8 @@
         self.lag_s = service.lag_s
         # While set, the replica receives nothing from the primary.
         self.receives_nothing = False
+        # Share of the statements that the member runs and answers with FAILED.
+        self.failing_share = 0.0
         self.slots = asyncio.Semaphore(service.slots)
         self.busy = 0
         self.waiting = 0
@@ -343,7 +346,7 @@
             _, after, text = text.split(" ", 2)
         verb, _, rest = text.partition(" ")
         if verb in ("SET", "RESET", "PREPARE", "DEALLOC"):
-            return self._setting(session, verb, rest)
+            return self._fail_some(session, self._setting(session, verb, rest))
         if verb == "EXECUTE":
             name, _, rest = rest.partition(" ")
             if name not in session.prepared:
@@ -354,10 +357,25 @@
         if after and not self._has(after):
             return "ERROR LAGGING behind\r\n"
         run = getattr(self, f"_{verb.lower()}")
-        return await run(session, who, request_id, rest)
+        if request_id != "-":
+            self.service.values.setdefault(request_id, []).append(dict(session.values))
+        return self._fail_some(session, await run(session, who, request_id, rest))
+
+    def _fail_some(self, session, result):
+        if not self.failing_share or result.startswith("ERROR"):
+            return result
+        if random.random() >= self.failing_share:
+            return result
+        if session.state == "T":
+            session.state = "E"
+        return f"ERROR FAILED {self.id}\r\n"
 
     def _setting(self, session, verb, rest):
-        if verb == "RESET":
+        if verb == "SET":
+            name, _, value = rest.partition(" ")
+            session.values[name] = value
+        elif verb == "RESET":
+            session.values.clear()
             session.prepared.clear()
         elif verb == "PREPARE":
             name, kind, _ = rest.split(" ", 2)
@@ -467,6 +485,7 @@
 class _Session:
     def __init__(self):
         self.state = "I"
+        self.values = {}
         self.plain = False
         self.writes = []
         self.prepared = {}
@@ -503,6 +522,8 @@
         self.ran = {}
         # Request ids with the time and the member of the last arrival.
         self.reached = {}
+        # By request id: the session values of the member's connection at each run.
+        self.values = {}
         self.promotions = []
         self._ids = 0
         self.members = [self._new_member() for _ in range(size)]
@@ -974,6 +995,18 @@
                 return Answer(code, rows, detail)
 
 
+async def _run_limited(case, record, with_trouble):
+    """Run a case; SIGTERM and the time limit end it and all that it has started."""
+    task = asyncio.create_task(case(record, with_trouble))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        return await asyncio.wait_for(task, TIME_LIMIT_S)
+    except TimeoutError:
+        raise NotRunError("the time limit was reached") from None
+    except asyncio.CancelledError:
+        raise NotRunError("ended by a signal") from None
+
+
 def run_case(folder, case):
     """Run a case and return the exit code: 1 broken, 0 held, 2 could not run.
 
@@ -984,7 +1017,7 @@
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.say(f"trouble: {'yes' if with_trouble else 'no'}")
     try:
-        breaches = asyncio.run(case(record, with_trouble))
+        breaches = asyncio.run(_run_limited(case, record, with_trouble))
     except NotRunError as error:
         record.say(f"could not run: {error}")
         return 2
