--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,7 +18,7 @@
 )
 
 KEY = "key-of-a"
-SESSIONS = 20
+SESSIONS = 40
 STOPS = 2
 ROUTE_TIMEOUT_S = 1.0
 LOSS_AFTER_S = GRACE_S + 1.0
