Keep a VM in the list of VMs while it may use a primary

Cause: a stopping VM removed its entry in the list of VMs without a condition. When the store executed that call late, it deleted the entry of the VM's next process. Changes of primary neither asked that VM to stop using the old primary nor waited for its lease. Two related paths led to the same state: a late registration of an earlier process, and a VM that returned after its entry and its mark as absent had been removed.

The new tests fail on the earlier code.

Change: a removal and an update of an entry name the version that they apply to. A mark outlasts its entry by 120 s, and a VM whose lease ended more than 60 s ago registers again. A stopping VM ends its registration first. A late call then finds another version and does nothing, and a VM without an entry gets no lease.

Cost: registration takes a read and an update instead of one update.

Changed tests: the stand-in of the store checks the version of a removal. The mark of a removed VM is expected to stay and then to be dropped. Registration is expected to make exactly one read and one update; before, the updates alone were counted. Views of tests are registered at the start of the test's clock instead of at 0.

--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -175,6 +175,7 @@
         self._rpc: Rpc | None = None
         self._failover: Failover | None = None
         self._tasks: list[asyncio.Task[None]] = []
+        self._registration_task: asyncio.Task[None] | None = None
         self._session_context = SessionContext(
             self._servers,
             self._view,
@@ -232,13 +233,13 @@
         await self._feeds.fetch()
         loops: list[Awaitable[None]] = [
             self._feeds.run(),
-            self._registry.register(),
             self._reports.run(self._limiter.pop_unused),
             self._registry.follow(),
             self._run_maintenance(),
         ]
         for loop in loops:
             self._tasks.append(asyncio.ensure_future(loop))
+        self._registration_task = asyncio.create_task(self._registry.register())
 
     def stop_accepting(self) -> None:
         """Refuse statements of other VMs that do not belong to an open transaction."""
@@ -251,6 +252,8 @@
     async def close(self) -> None:
         """Leave the fleet; all sessions must have ended."""
         self._leases.end_all()
+        # It would register this VM again once the view is suspended.
+        await cancel_tasks([self._registration_task])
         self._view.suspend()
         await self._leadership.resign()
         self._servers.close()
--- a/citronwood/relay/registry.py
+++ b/citronwood/relay/registry.py
@@ -19,10 +19,10 @@
     PlatformError,
     VersionConflictError,
 )
-from citronwood.platform.api import ANY_VERSION, Listing, ObjectStore
+from citronwood.platform.api import Listing, ObjectStore
 from citronwood.relay.clock import now
 from citronwood.relay.leadership import Leadership
-from citronwood.relay.view import LEASE_S, PrimaryView
+from citronwood.relay.view import LEASE_S, MAX_LAPSE_S, PrimaryView
 
 log = logging.getLogger(__name__)
 
@@ -36,6 +36,9 @@
 ABSENT_AFTER_S = 6.0
 # Time from marking a VM as absent to removing its entry: its lease and a margin.
 ABSENT_REMOVAL_DELAY_S = LEASE_S + 0.5
+# Time from marking a VM as absent to dropping the mark of a removed entry. A VM that
+# returns earlier reads the mark, and one that returns later registers again by itself.
+ABSENT_MARK_RETENTION_S = 2 * MAX_LAPSE_S
 
 
 class RegisteredVm(NamedTuple):
@@ -122,7 +125,10 @@
         self._vms: list[RegisteredVm] = []
         self._last_report_at: dict[str, float] = {}
         self._absent_since: dict[str, float] = {}
+        self._has_removals_due = False
         self._registration_id = 0
+        # Version of the entry that the store has acknowledged; 0 without one.
+        self._entry_version = 0
         self._registered = False
 
     @property
@@ -140,12 +146,18 @@
         self._last_report_at[vm] = now()
 
     async def unregister(self) -> None:
-        """Remove the entry of this VM; it must have stopped using primaries."""
+        """Remove the entry of this VM; it must have stopped using primaries.
+
+        The store may execute the removal seconds later, when the next process of this
+        VM has registered. The entry of that process has another version and is kept.
+        """
         self._registered = False
         try:
-            await self._store.delete(
-                VM_KIND, self._name, 0, deadline_in(STORE_CALL_TIMEOUT_S)
-            )
+            if self._entry_version:
+                await self._delete_entry(self._name, self._entry_version)
+            else:
+                # A registration whose answer was lost may have taken effect.
+                await self._remove_entry(self._name, self._registration_id)
         except PlatformError as error:
             log_state(log, "unregister", "failed", f"fleet: {error}")
 
@@ -162,6 +174,7 @@
                     # Missing reports count only from the time this VM became leader.
                     self._last_report_at.clear()
                     self._absent_since.clear()
+                    self._has_removals_due = False
                 has_contact = not is_leader_now and self._leadership.has_leader_contact
                 if has_contact and not self._needs_list():
                     await asyncio.sleep(VM_LIST_INTERVAL_S)
@@ -174,7 +187,7 @@
             except PlatformError as error:
                 log_state(log, "vms", "failed", f"fleet: {error}")
             interval_s = (
-                ABSENT_LIST_INTERVAL_S if self._absent_since else VM_LIST_INTERVAL_S
+                ABSENT_LIST_INTERVAL_S if self._has_removals_due else VM_LIST_INTERVAL_S
             )
             await asyncio.sleep(interval_s * random.uniform(0.8, 1.0))
 
@@ -207,7 +220,7 @@
                 "process": self._registration_id,
             }
             try:
-                await self._write_entry(value)
+                self._entry_version = await self._write_entry(value)
             except PlatformError as error:
                 log_state(log, "register", "failed", f"fleet: {error}")
                 await asyncio.sleep(RETRY_INTERVAL_S)
@@ -216,41 +229,47 @@
             self._view.note_registered(now())
             await self._on_registered()
             log_state(log, "register", "done", "fleet: this VM is registered")
-            await self._wait_until_marked_absent()
+            reason = await self._wait_until_unlisted()
             self._view.suspend()
-            log_state(log, "register", "lost", "fleet: this VM was marked as absent")
+            log_state(log, "register", "lost", f"fleet: {reason}")
 
-    async def _wait_until_marked_absent(self) -> None:
-        """Wait until the leader has marked this VM's current entry as absent."""
+    async def _wait_until_unlisted(self) -> str:
+        """Wait until the leader may remove this VM's entry; return why it may."""
         while True:
             state = self._view.state
             if state is not None and (
                 state.absent.get(self._name) == self._registration_id
             ):
-                return
+                return "this VM was marked as absent"
+            if not self._view.is_registered:
+                return "this VM had no lease for so long that it may have been removed"
             await self._view.wait_for_change()
 
-    async def _write_entry(self, value: dict[str, Any]) -> None:
-        """Replace an earlier entry of this VM, or create it.
+    async def _write_entry(self, value: dict[str, Any]) -> int:
+        """Replace an earlier entry of this VM, or create it; return its version.
 
-        Hundreds of VMs may start together, and then most have an earlier entry.
+        The update names the version that it replaces. An update of an earlier process
+        that the store executes late then does not replace the entry of a later one.
         """
-        for expected in (ANY_VERSION, 0):
-            deadline = deadline_in(STORE_CALL_TIMEOUT_S)
-            try:
-                await self._store.put(VM_KIND, self._name, value, expected, deadline)
-            except VersionConflictError:
-                if expected != ANY_VERSION:
-                    raise
-            else:
-                return
+        try:
+            stored = await self._store.get(
+                VM_KIND, self._name, deadline_in(STORE_CALL_TIMEOUT_S)
+            )
+        except ObjectNotFoundError:
+            expected = 0
+        else:
+            expected = stored.version
+        return await self._store.put(
+            VM_KIND, self._name, value, expected, deadline_in(STORE_CALL_TIMEOUT_S)
+        )
 
     async def _remove_absent(self) -> None:
         """Remove the entries of VMs that have not reported for a long time.
 
         Such a VM may still read the store and use primaries. It is marked as absent
         first. Its entry is removed after its lease has ended, unless the VM has
-        registered again.
+        registered again. The mark outlasts the entry, so that the VM learns of the
+        removal when it returns.
         """
         state = self._view.state
         if state is None:
@@ -267,21 +286,27 @@
         new_absent = {
             name: process
             for name, process in {**state.absent, **silent}.items()
-            if entries.get(name) == process
+            if entries.get(name, process) == process
+            and (name in entries or not self._is_mark_expired(name, time_now))
         }
-        for name in list(new_absent):
+        for name, process in new_absent.items():
             if (
-                state.absent.get(name) == new_absent[name]
+                name in entries
+                and state.absent.get(name) == process
                 and self._absent_since.get(name, time_now)
                 < time_now - ABSENT_REMOVAL_DELAY_S
             ):
-                await self._remove_entry(name, new_absent.pop(name))
+                await self._remove_entry(name, process)
         if new_absent != state.absent:
             await self._leadership.change_absent_vms(lambda _: new_absent)
             time_now = now()
         self._absent_since = {
             name: self._absent_since.get(name, time_now) for name in new_absent
         }
+        self._has_removals_due = any(name in entries for name in new_absent)
+
+    def _is_mark_expired(self, name: str, time: float) -> bool:
+        return self._absent_since.get(name, time) < time - ABSENT_MARK_RETENTION_S
 
     async def _remove_entry(self, name: str, process: int) -> None:
         try:
@@ -291,12 +316,23 @@
         except ObjectNotFoundError:
             return
         if stored.value.get("process") == process:
+            await self._delete_entry(name, stored.version)
+            log_state(
+                log,
+                "vms",
+                "removed",
+                f"fleet: removed the entry of {name}, process {process}",
+            )
+
+    async def _delete_entry(self, name: str, version: int) -> None:
+        try:
             await self._store.delete(
-                VM_KIND, name, stored.version, deadline_in(STORE_CALL_TIMEOUT_S)
+                VM_KIND, name, version, deadline_in(STORE_CALL_TIMEOUT_S)
             )
+        except VersionConflictError:
             log_state(
                 log,
                 "vms",
-                "removed",
-                f"fleet: removed the entry of {name}, which is absent",
+                "kept",
+                f"fleet: kept the entry of {name}, which a newer process has written",
             )
--- a/citronwood/relay/view.py
+++ b/citronwood/relay/view.py
@@ -17,6 +17,9 @@
 # The lease outlasts short outages of the store, so that callers do not notice them. A
 # change of primary waits up to this long and a margin for a VM that does not answer.
 LEASE_S = 5.0
+# A VM whose lease ended longer ago than this registers again before it uses a primary,
+# because its entry in the list of VMs may have been removed meanwhile.
+MAX_LAPSE_S = 60.0
 
 
 class GroupState(NamedTuple):
@@ -75,6 +78,11 @@
         """Version of the store's object that holds the newest known state."""
         return self._version
 
+    @property
+    def is_registered(self) -> bool:
+        """Whether leases are allowed since the last registration of this VM."""
+        return self._registered_at < math.inf
+
     @property
     def is_valid(self) -> bool:
         """Whether the lease on the state has not ended."""
@@ -125,6 +133,9 @@
         """Extend the lease; the state was current at ``asked_at`` or later."""
         if asked_at < self._registered_at:
             return
+        if asked_at > max(self._valid_until, self._registered_at) + MAX_LAPSE_S:
+            self.suspend()
+            return
         if asked_at + LEASE_S > self._valid_until:
             was_valid = self.is_valid
             self._valid_until = asked_at + LEASE_S
--- a/tests/relay_standins.py
+++ b/tests/relay_standins.py
@@ -56,8 +56,14 @@
 
     async def delete(self, kind, name, expected_version, deadline):
         self._start_call("delete", kind)
-        if self.objects.get(kind, {}).pop(name, None) is not None:
-            self.version += 1
+        objects = self.objects.get(kind, {})
+        if name not in objects:
+            return
+        actual = objects[name].version
+        if expected_version and actual != expected_version:
+            raise VersionConflictError(kind, name, expected_version, actual)
+        del objects[name]
+        self.version += 1
 
     async def list_objects(self, kind, deadline, stale_ok=False):
         self._start_call("list", kind)
@@ -160,7 +166,11 @@
         if stored is None:
             return web.json_response({}, status=404)
         if request.method == "DELETE":
-            await self.store.delete(kind, name, 0, 0.0)
+            expected = int(request.query.get("revision", "0"))
+            try:
+                await self.store.delete(kind, name, expected, 0.0)
+            except VersionConflictError:
+                return web.json_response(_encode_object(name, stored), status=409)
         return web.json_response(_encode_object(name, stored))
 
     def _refusal(self):
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -428,6 +428,7 @@
     # The entry of a lost VM would delay each later change of primary.
     monkeypatch.setattr(registry_module, "ABSENT_AFTER_S", 1.0)
     monkeypatch.setattr(registry_module, "ABSENT_REMOVAL_DELAY_S", 1.0)
+    monkeypatch.setattr(registry_module, "ABSENT_MARK_RETENTION_S", 2.0)
     monkeypatch.setattr(registry_module, "VM_LIST_INTERVAL_S", 1.0)
 
     async def scenario(vms, store, group):
--- a/tests/test_relay_leadership.py
+++ b/tests/test_relay_leadership.py
@@ -22,7 +22,8 @@
 class Vm:
     def __init__(self, store, name):
         self.view = PrimaryView()
-        self.view.note_registered(0.0)
+        # The time at which the clock of these tests starts.
+        self.view.note_registered(1000.0)
         self.written = []
         self.leadership = Leadership(
             store, self.view, name, 1, f"tcp://{name}", self._record_write
--- a/tests/test_relay_registry.py
+++ b/tests/test_relay_registry.py
@@ -4,10 +4,13 @@
 
 import pytest
 
+from citronwood.errors import PlatformUnavailableError, VersionConflictError
 from citronwood.platform.api import Listing, VersionedObject
 from citronwood.relay import registry as registry_module
+from citronwood.relay import view as view_module
 from citronwood.relay.registry import (
     ABSENT_AFTER_S,
+    ABSENT_MARK_RETENTION_S,
     ABSENT_REMOVAL_DELAY_S,
     VM_KIND,
     Peer,
@@ -15,7 +18,7 @@
     decode_peers,
     share_of_stronger,
 )
-from citronwood.relay.view import PrimaryView
+from citronwood.relay.view import MAX_LAPSE_S, PrimaryView
 from citronwood.tasks import cancel_tasks
 from tests.fleet_helpers import eventually
 from tests.relay_standins import MemoryStore
@@ -52,10 +55,48 @@
     state = FakeState()
 
 
+class LateStore:
+    """Access to a store that loses the answers to writes and executes them later."""
+
+    def __init__(self, store):
+        self.loses_answers = False
+        self._store = store
+        self._late = []
+
+    @property
+    def has_late_writes(self):
+        return bool(self._late)
+
+    async def get(self, *arguments):
+        return await self._store.get(*arguments)
+
+    async def put(self, *arguments):
+        return await self._write(self._store.put, arguments)
+
+    async def delete(self, *arguments):
+        return await self._write(self._store.delete, arguments)
+
+    async def _write(self, call, arguments):
+        if not self.loses_answers:
+            return await call(*arguments)
+        self._late.append((call, arguments))
+        raise PlatformUnavailableError("no answer")
+
+    async def execute_late_writes(self):
+        """Execute the writes whose condition still holds."""
+        assert self._late
+        for call, arguments in self._late:
+            try:
+                await call(*arguments)
+            except VersionConflictError:
+                continue
+
+
 class RegistryWorld:
     def __init__(self, monkeypatch):
         self.time = 100.0
         monkeypatch.setattr(registry_module, "now", lambda: self.time)
+        monkeypatch.setattr(view_module, "now", lambda: self.time)
         monkeypatch.setattr(registry_module, "VM_LIST_INTERVAL_S", 0.01)
         monkeypatch.setattr(registry_module, "ABSENT_LIST_INTERVAL_S", 0.01)
         self.store = MemoryStore()
@@ -63,8 +104,12 @@
         self.leadership = FakeLeadership(self.view)
         self.counts = []
         self.is_deputy = False
-        self.registry = VmRegistry(
-            self.store,
+        self.registry = self.new_registry(self.store)
+
+    def new_registry(self, store):
+        """Return the registry of a process of this VM."""
+        return VmRegistry(
+            store,
             self.view,
             self.leadership,
             Peer("me", "tcp://me", "z1"),
@@ -73,6 +118,11 @@
             lambda: self.is_deputy,
         )
 
+    def own_process(self):
+        """Return the id in the entry of this VM; None without an entry."""
+        stored = self.store.objects.get(VM_KIND, {}).get("me")
+        return None if stored is None else stored.value["process"]
+
     async def _on_registered(self):
         return
 
@@ -97,6 +147,13 @@
         await eventually(lambda: len(self.counts) >= target)
 
 
+async def register(registry):
+    """Register a VM and end its registration task, as at a planned stop."""
+    task = asyncio.create_task(registry.register())
+    await eventually(lambda: registry.is_registered)
+    await cancel_tasks([task])
+
+
 @pytest.fixture
 def world(monkeypatch):
     return RegistryWorld(monkeypatch)
@@ -117,6 +174,11 @@
         world.registry.note_report("heard")
         await world.wait_for_reads()
         assert set(world.store.objects[VM_KIND]) == {"me", "heard"}
+        # A VM that returns later than its removal has to learn of it.
+        assert world.view.state.absent == {"silent": 1}
+        world.time += ABSENT_MARK_RETENTION_S
+        world.registry.note_report("heard")
+        await world.wait_for_reads()
         assert world.view.state.absent == {}
 
     world.run(scenario)
@@ -172,15 +234,14 @@
         task = asyncio.create_task(world.registry.register())
         await eventually(lambda: world.registry.is_registered)
         await cancel_tasks([task])
-        calls = [call for call in world.store.calls if call[0] == "put"]
-        assert len(calls) == 2
+        assert world.store.calls == [("get", VM_KIND), ("put", VM_KIND)]
 
     world.leadership.is_leader = False
     world.leadership.has_leader_contact = True
     world.run(scenario)
 
 
-def test_entry_of_an_earlier_process_is_replaced_with_one_call(world):
+def test_entry_of_an_earlier_process_is_replaced_with_one_update(world):
     # Hundreds of VMs register at the same time after a loss of power.
     async def scenario():
         world.add_entry("me", process=1)
@@ -196,6 +257,98 @@
     world.run(scenario)
 
 
+def test_late_removal_by_an_earlier_process_keeps_the_entry(world):
+    # Guards against a change of primary that does not wait for this VM, because the
+    # store executed the removal of its earlier process after it had registered.
+    async def scenario():
+        late_store = LateStore(world.store)
+        earlier = world.new_registry(late_store)
+        await register(earlier)
+        late_store.loses_answers = True
+        await earlier.unregister()
+        await register(world.registry)
+        process = world.own_process()
+        await late_store.execute_late_writes()
+        assert world.own_process() == process
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("has_entry", [False, True])
+def test_late_registration_of_an_earlier_process_keeps_the_entry(world, has_entry):
+    # Guards against a VM that does not notice that it was marked as absent, because its
+    # entry has the id of an earlier process.
+    async def scenario():
+        if has_entry:
+            world.add_entry("me")
+        late_store = LateStore(world.store)
+        late_store.loses_answers = True
+        earlier = asyncio.create_task(world.new_registry(late_store).register())
+        await eventually(lambda: late_store.has_late_writes)
+        await cancel_tasks([earlier])
+        await register(world.registry)
+        process = world.own_process()
+        await late_store.execute_late_writes()
+        assert world.own_process() == process
+
+    asyncio.run(scenario())
+
+
+def test_registration_without_an_answer_is_removed_at_a_stop(world):
+    # Guards against changes of primary that wait for the lease of a VM that has left.
+    async def scenario():
+        lossy_store = LateStore(world.store)
+        lossy_store.loses_answers = True
+        registry = world.new_registry(lossy_store)
+        task = asyncio.create_task(registry.register())
+        await eventually(lambda: lossy_store.has_late_writes)
+        await cancel_tasks([task])
+        await lossy_store.execute_late_writes()
+        lossy_store.loses_answers = False
+        await registry.unregister()
+        assert world.own_process() is None
+
+    asyncio.run(scenario())
+
+
+def test_vm_that_returns_after_its_removal_registers_again(world):
+    # Guards against a VM that uses primaries without being in the list of VMs after it
+    # was cut off until its entry had been removed.
+    async def scenario():
+        task = asyncio.create_task(world.registry.register())
+        await eventually(lambda: world.registry.is_registered)
+        process = world.own_process()
+        world.view.renew_lease(world.time)
+        world.time += ABSENT_AFTER_S + ABSENT_REMOVAL_DELAY_S
+        del world.store.objects[VM_KIND]["me"]
+        world.view.state = world.view.state._replace(absent={"me": process})
+        world.view.renew_lease(world.time)
+        world.view._wake()
+        await eventually(lambda: world.own_process() is not None)
+        assert world.own_process() != process
+        await cancel_tasks([task])
+
+    asyncio.run(scenario())
+
+
+def test_vm_without_a_lease_for_long_registers_again(world):
+    # The mark of a removed entry is dropped after some time.
+    async def scenario():
+        task = asyncio.create_task(world.registry.register())
+        await eventually(lambda: world.registry.is_registered)
+        process = world.own_process()
+        world.view.renew_lease(world.time)
+        world.time = world.view.valid_until + MAX_LAPSE_S + 0.1
+        del world.store.objects[VM_KIND]["me"]
+        world.view.renew_lease(world.time)
+        assert not world.view.is_valid
+        await eventually(lambda: world.own_process() is not None)
+        assert world.own_process() != process
+        await cancel_tasks([task])
+
+    asyncio.run(scenario())
+
+
 def test_deputy_knows_the_vms_before_it_leads(world):
     # Guards against a new leader that does not know the VMs that it must notify.
     async def scenario():
--- a/tests/test_relay_view.py
+++ b/tests/test_relay_view.py
@@ -25,7 +25,7 @@
 
 def registered_view():
     view = PrimaryView()
-    view.note_registered(0.0)
+    view.note_registered(Clock().time)
     return view
 
 
