Answer the statements that run at a planned stop

Cause: a session was closed only when a check, every 50 ms, met it between two statements. Sessions without pauses were not met and went on until 1 s before the end of the grace period, when all were closed. Their transactions were not aborted either, and one that had not begun at a server was not aborted at all.

The new tests fail on the earlier code.

Change: 2.6 s after SIGTERM, operations are refused as not run and the session is closed after that answer; statements that run then have the rest of the grace period. A session that was answered within 50 ms is not closed as idle, because its next statement may be on the way. An open transaction is aborted with its next statement after half of the grace period. What still runs at the end gets an answer that says whether something may have been changed.

--- a/citronwood/platform/callers.py
+++ b/citronwood/platform/callers.py
@@ -3,11 +3,12 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from time import monotonic
 
 from aiohttp import web
 
 from citronwood.deadline import deadline_in
-from citronwood.decisions import log_request, log_state
+from citronwood.decisions import current_request, log_request, log_state
 from citronwood.errors import MessageError
 from citronwood.metrics import Metrics
 from citronwood.platform.nodefile import Address
@@ -29,6 +30,7 @@
     Reason,
     Statement,
     TransactionState,
+    Verb,
 )
 
 log = logging.getLogger(__name__)
@@ -44,10 +46,29 @@
 READINESS_PROPAGATION_S = 2.6
 # Open transactions are aborted when this share of the grace period has passed.
 TRANSACTION_GRACE_SHARE = 0.5
+# Time for the answers to the last statements to be written.
+LAST_ANSWER_TIMEOUT_S = 0.2
 # Part of the grace period that is left for leaving the fleet after the listener has
 # stopped.
 FLEET_LEAVE_RESERVE_S = 1.0
 STOP_POLL_S = 0.05
+# A session that was answered within this time is kept open at first, because its next
+# statement may be on the way.
+RECENT_ANSWER_S = 0.05
+
+
+class _Stop:
+    """How far the planned stop of this VM has come.
+
+    Load pattern: callers send the next statement as soon as they have the answer to the
+    last one, so that their sessions are hardly ever idle. A statement that arrives
+    ``refuses_operations`` later is refused as not run, and its session is closed after
+    that answer. The statements that run then have the rest of the grace period to end.
+    """
+
+    def __init__(self) -> None:
+        self.refuses_operations = False
+        self.ends_transactions = False
 
 
 class CallerListener:
@@ -59,6 +80,8 @@
         self._metrics = metrics
         self._server: asyncio.Server | None = None
         self._connections: set[_CallerConnection] = set()
+        self._all_closed = asyncio.Event()
+        self._stop = _Stop()
 
     async def start(self) -> None:
         """Listen for callers."""
@@ -74,9 +97,10 @@
         """Stop accepting connections and close all open ones within the grace period.
 
         New connections are accepted and idle ones kept for ``READINESS_PROPAGATION_S``.
-        After ``TRANSACTION_GRACE_SHARE`` of the grace period, open transactions are
-        aborted. All remaining connections are closed ``FLEET_LEAVE_RESERVE_S`` before
-        its end.
+        Then each connection is closed between two operations. After
+        ``TRANSACTION_GRACE_SHARE`` of the grace period, open transactions are aborted.
+        ``FLEET_LEAVE_RESERVE_S`` before its end, the statements that still run get an
+        answer without a result, and all connections are closed.
         """
         loop = asyncio.get_running_loop()
         started = loop.time()
@@ -84,24 +108,40 @@
         while loop.time() < deadline:
             elapsed_s = loop.time() - started
             if elapsed_s >= READINESS_PROPAGATION_S:
-                if self._server is not None:
-                    self._server.close()
-                    self._server = None
+                self._close_server()
+                self._stop.refuses_operations = True
+                self._stop.ends_transactions = (
+                    elapsed_s >= grace_s * TRANSACTION_GRACE_SHARE
+                )
                 for connection in [*self._connections]:
-                    connection.close_if_idle(
-                        elapsed_s >= grace_s * TRANSACTION_GRACE_SHARE
-                    )
+                    connection.close_if_idle()
                 if not self._connections:
-                    break
+                    return
             await asyncio.sleep(STOP_POLL_S)
+        self._close_server()
         for connection in [*self._connections]:
-            connection.close()
+            connection.cut()
+        if self._connections:
+            self._all_closed.clear()
+            try:
+                async with asyncio.timeout(LAST_ANSWER_TIMEOUT_S):
+                    await self._all_closed.wait()
+            except TimeoutError:
+                left = len(self._connections)
+                log_state(log, "callers", "cut", f"entry: {left} sessions are left")
+
+    def _close_server(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         configure_socket(writer)
-        connection = _CallerConnection(self._node, reader, writer, self._metrics)
+        connection = _CallerConnection(
+            self._node, reader, writer, self._metrics, self._stop
+        )
         self._connections.add(connection)
         try:
             await connection.run()
@@ -109,6 +149,8 @@
             self._metrics.count("callers.disconnected")
         finally:
             self._connections.discard(connection)
+            if not self._connections:
+                self._all_closed.set()
             writer.close()
 
 
@@ -121,30 +163,41 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         metrics: Metrics,
+        stop: _Stop,
     ) -> None:
         self._node = node
         self._reader = reader
         self._writer = writer
         self._metrics = metrics
+        self._stop = stop
         self._session: Session | None = None
         self._busy = True
+        self._answered_at = 0.0
+        # Limits the running statement; it has no deadline until the VM stops.
+        self._limit: asyncio.Timeout | None = None
+        self._is_cut = False
 
-    def close_if_idle(self, abort_transactions: bool) -> None:
+    def close_if_idle(self) -> None:
         """Close the connection unless a statement runs or a transaction is open.
 
-        With ``abort_transactions`` an open transaction is aborted; the next statement
-        of its caller fails.
+        While transactions are ended, an open one is aborted; the next statement of its
+        caller fails.
         """
         if self._busy:
             return
         if self._session is None or self._session.state is TransactionState.IDLE:
-            self.close()
-        elif abort_transactions:
+            if monotonic() >= self._answered_at + RECENT_ANSWER_S:
+                self._writer.close()
+        elif self._stop.ends_transactions:
             self._session.abort_transaction()
 
-    def close(self) -> None:
-        """Close the connection."""
-        self._writer.close()
+    def cut(self) -> None:
+        """Close the connection after an answer to the statement that runs."""
+        self._is_cut = True
+        if self._limit is None:
+            self._writer.close()
+        else:
+            self._limit.reschedule(asyncio.get_running_loop().time())
 
     async def run(self) -> None:
         """Serve the caller until the session ends."""
@@ -198,6 +251,7 @@
     async def _serve_statement(self, session: Session) -> bool:
         """Serve the next statement; False at the end of the session."""
         self._busy = False
+        self._answered_at = monotonic()
         line = await self._read_message(session)
         self._busy = True
         if line is None:
@@ -211,8 +265,21 @@
             return True
         if statement is None:
             return False
+        if self._stop.refuses_operations and session.state is TransactionState.IDLE:
+            self._refuse(statement)
+            return False
+        if self._stop.ends_transactions:
+            session.abort_transaction()
         self._send(encode_answer(await self._run_statement(session, statement)))
-        return True
+        return not self._is_cut
+
+    def _refuse(self, statement: Statement) -> None:
+        """Refuse a statement because this VM stops."""
+        self._metrics.count("callers.refused_at_stop")
+        current_request.set(statement.id)
+        failure = Failure(Reason.OVERLOADED, "not run, this VM stops; reconnect")
+        log_request(log, "statement", "refused", f"entry: {failure.message}")
+        self._send(encode_answer(Answer(failure=failure)))
 
     def _send(self, data: bytes) -> None:
         """Write, or raise ``ConnectionResetError`` if the connection is closed."""
@@ -224,7 +291,19 @@
         rules = self._node.rules
         assert rules is not None
         started = asyncio.get_running_loop().time()
-        answer = await session.handle(statement, rules)
+        try:
+            async with asyncio.timeout(None) as limit:
+                self._limit = limit
+                answer = await session.handle(statement, rules)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            # The rollback at the end of the session must not wait for the statement.
+            session.abort_transaction()
+            failure = _failure_of_cut(statement, session.state)
+            answer = Answer(failure=failure, state=session.state)
+        finally:
+            self._limit = None
         took_ms = (asyncio.get_running_loop().time() - started) * 1000
         outcome = "ok" if answer.failure is None else answer.failure.reason.value
         self._metrics.count(f"statements.{outcome}")
@@ -248,6 +327,17 @@
             reading.cancel()
 
 
+def _failure_of_cut(statement: Statement, state: TransactionState) -> Failure:
+    """Return the answer to a statement that runs when this VM has to end."""
+    if statement.verb is Verb.COMMIT or (
+        state is TransactionState.IDLE and statement.verb in (Verb.WRITE, Verb.EXECUTE)
+    ):
+        text = "this VM stops; the statement may have run"
+        return Failure(Reason.OUTCOME_UNKNOWN, text)
+    # A read changes nothing, and an open transaction is rolled back.
+    return Failure(Reason.ABORTED, "this VM stops; nothing was changed")
+
+
 class ReadinessServer:
     """Tells the platform whether this VM accepts new connections."""
 
--- a/citronwood/relay/session.py
+++ b/citronwood/relay/session.py
@@ -57,6 +57,7 @@
         self.connection: LeasedConnection | None = None
         self.at_primary = False
         self.has_written = False
+        self.is_aborted = False
 
 
 def _to_ms(seconds: float) -> int:
@@ -125,6 +126,7 @@
     def abort_transaction(self) -> None:
         """End an open transaction; the caller learns of it with its next statement."""
         if self._transaction is not None:
+            self._transaction.is_aborted = True
             self._drop_connection()
 
     def _log_outcome(self, statement: Statement, answer: Answer, rules: Rules) -> None:
@@ -327,6 +329,8 @@
         if transaction.connection is not None:
             self._router.trace.via = transaction.connection.via
         try:
+            if transaction.is_aborted:
+                raise refusal(Reason.ABORTED, "the transaction was rolled back")
             if transaction.connection is None:
                 await self._begin_transaction(transaction, deadline)
             return await self._run_in_transaction(transaction, statement, deadline)
--- a/tests/test_relay_callers.py
+++ b/tests/test_relay_callers.py
@@ -4,14 +4,16 @@
 import socket
 import struct
 
+import pytest
 import uvloop
 
 from citronwood.deadline import timeout_at
 from citronwood.metrics import Metrics
-from citronwood.platform.callers import CallerListener
+from citronwood.platform import callers as callers_module
+from citronwood.platform.callers import FLEET_LEAVE_RESERVE_S, CallerListener
 from citronwood.platform.nodefile import Address
 from citronwood.relay.model import Rules
-from citronwood.relay.statement import Answer, TransactionState
+from citronwood.relay.statement import Answer, Failure, Reason, TransactionState
 from tests.fleet_helpers import eventually
 from tests.processes import reserve_port
 
@@ -26,6 +28,7 @@
         self.started = asyncio.Event()
         self.may_end = asyncio.Event()
         self.closed = False
+        self.aborted = False
 
     def check(self, rules):
         return None
@@ -35,10 +38,35 @@
         await self.may_end.wait()
         return Answer()
 
+    def abort_transaction(self):
+        self.aborted = True
+
     async def close(self):
         self.closed = True
 
 
+class BusySession(WaitingSession):
+    """Session of a caller that sends its next statement after each answer."""
+
+    def __init__(self):
+        super().__init__()
+        self.run_count = 0
+
+    async def handle(self, statement, rules):
+        self.run_count += 1
+        await asyncio.sleep(0.02)
+        failure = None
+        if self.state is TransactionState.FAILED:
+            # The server rolls back, and the caller takes note of it.
+            self.state = TransactionState.IDLE
+            failure = Failure(Reason.ABORTED, "rolled back")
+        return Answer(state=self.state, failure=failure)
+
+    def abort_transaction(self):
+        if self.state is TransactionState.OPEN:
+            self.state = TransactionState.FAILED
+
+
 class Node:
     """Relay node that gives every caller the same session."""
 
@@ -110,3 +138,106 @@
         await listener.stop(0.0)
 
     asyncio.run(scenario())
+
+
+async def send_without_pause(port, answers):
+    """Send each statement right after the answer to the last one, until a refusal.
+
+    ``answers`` gets the text of each answer, and "" for a statement without one.
+    """
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"START db key\r\n")
+    await reader.readline()
+    while not answers or answers[-1].startswith("DONE"):
+        writer.write(b"QUERY 1 WRITE x 1\r\n")
+        try:
+            answer = await reader.readuntil(b"\r\nREADY ")
+            await reader.readuntil(b"\r\n")
+        except (asyncio.IncompleteReadError, ConnectionResetError):
+            answer = b""
+        answers.append(answer.decode())
+    writer.close()
+
+
+def run_planned_stop(session, grace_s, caller_count=20):
+    """Stop a listener under load; return the answers of the callers and the time."""
+
+    async def scenario():
+        port = reserve_port()
+        listener = CallerListener(Node(session), Address("127.0.0.1", port), Metrics())
+        await listener.start()
+        answers = [[] for _ in range(caller_count)]
+        callers = [
+            asyncio.create_task(send_without_pause(port, of_caller))
+            for of_caller in answers
+        ]
+        await eventually(lambda: all(answers))
+        started = asyncio.get_running_loop().time()
+        await listener.stop(grace_s)
+        took_s = asyncio.get_running_loop().time() - started
+        await asyncio.gather(*callers)
+        return answers, took_s
+
+    return asyncio.run(scenario())
+
+
+def test_planned_stop_under_load_answers_every_statement_that_it_runs(monkeypatch):
+    # Guards against writes that ran without an answer, because a session without pauses
+    # was closed together with the VM's last connections.
+    monkeypatch.setattr(callers_module, "READINESS_PROPAGATION_S", 0.1)
+    session = BusySession()
+    grace_s = FLEET_LEAVE_RESERVE_S + 5.0
+    answers, took_s = run_planned_stop(session, grace_s)
+    assert took_s < grace_s - FLEET_LEAVE_RESERVE_S
+    everything = [answer for of_caller in answers for answer in of_caller]
+    served = [answer for answer in everything if answer.startswith("DONE")]
+    assert session.run_count == len(served)
+    # Callers learn that the next statement was not run and can be repeated.
+    assert any(answer.startswith("ERROR BUSY not run") for answer in everything)
+
+
+def test_planned_stop_ends_transactions_of_callers_without_pauses(monkeypatch):
+    # Guards against transactions that go on until the VM ends, because they are never
+    # idle when the VM looks.
+    monkeypatch.setattr(callers_module, "READINESS_PROPAGATION_S", 0.1)
+    monkeypatch.setattr(callers_module, "TRANSACTION_GRACE_SHARE", 0.1)
+
+    session = BusySession()
+    session.state = TransactionState.OPEN
+    grace_s = FLEET_LEAVE_RESERVE_S + 5.0
+    answers, took_s = run_planned_stop(session, grace_s, caller_count=1)
+    assert took_s < grace_s - FLEET_LEAVE_RESERVE_S
+    assert any(of_caller[-1].startswith("ERROR ABORTED") for of_caller in answers)
+    assert session.run_count == sum(
+        answer.startswith(("DONE", "ERROR ABORTED"))
+        for of_caller in answers
+        for answer in of_caller
+    )
+
+
+@pytest.mark.parametrize(
+    ("statement", "expected"),
+    [
+        ("WRITE x 1", b"ERROR UNKNOWN"),
+        ("EXECUTE s1 x", b"ERROR UNKNOWN"),
+        ("READ x", b"ERROR ABORTED"),
+    ],
+)
+def test_statement_that_outlasts_the_grace_period_is_answered(statement, expected):
+    # Guards against a connection that is closed while a statement runs, so that the
+    # caller has to wait or to guess.
+    async def scenario():
+        session = WaitingSession()
+        port = reserve_port()
+        listener = CallerListener(Node(session), Address("127.0.0.1", port), Metrics())
+        await listener.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(f"START db key\r\nQUERY 1 {statement}\r\n".encode())
+        await session.started.wait()
+        await listener.stop(0.0)
+        received = await reader.read()
+        assert received.startswith(b"READY I -\r\n" + expected)
+        assert session.closed
+        writer.close()
+
+    asyncio.run(scenario())
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -22,6 +22,7 @@
 from citronwood.relay import registry as registry_module
 from citronwood.relay.messages import ReportToLeader
 from citronwood.relay.node import FeedKinds, RelayNode, RelayOptions
+from citronwood.relay.statement import Reason, Statement, TransactionState, Verb
 from citronwood.relay.view import LEASE_S
 from tests.fleet_helpers import eventually
 from tests.processes import reserve_port
@@ -169,6 +170,24 @@
     run(scenario)
 
 
+def test_aborted_transaction_does_not_begin_later():
+    # Guards against transactions that a stopping VM or the idle timeout has aborted
+    # before their first statement, and which then run after all.
+    async def scenario(vms, store, group):
+        node = vms[0].node
+        session = node.open_session("shop", "key-1")
+        await session.handle(Statement("r1", Verb.BEGIN, "BEGIN"), node.rules)
+        session.abort_transaction()
+        write = Statement("r2", Verb.WRITE, "WRITE x 1")
+        answer = await session.handle(write, node.rules)
+        assert answer.failure.reason is Reason.ABORTED
+        assert answer.state is TransactionState.FAILED
+        assert group.writes == []
+        await session.close()
+
+    run(scenario)
+
+
 def test_transaction_lost_before_its_commit_is_aborted():
     async def scenario(vms, store, group):
         caller = await Caller.connect(vms[0].port)
