Promote only a replica that has all acknowledged commits

Cause: the leader promoted the most advanced of the servers that had just reported, however few. The replica that had the commits served reads in all of its slots, answered the status request with BUSY, and was left out. The leader did not know sync_replicas. Also, a promoted server without a free slot could not confirm its role and was rejected, after which the next replica was promoted.

The two new cases of test_replica_with_acknowledged_commits_is_promoted fail on the earlier failover.

Change: a pure decision (relay/successor.py) says whether enough replicas have reported: with sync_replicas n, fewer than n may be missing, and none that reported is ahead. During a change, a busy server is asked with STEPDOWN, which takes no slot and is answered with the status. A commit was received by n replicas before it was acknowledged, so one of those that reported has it, and the most advanced one has all of them.

With sync_replicas 0 nothing waits longer than before.

--- a/citronwood/platform/records.py
+++ b/citronwood/platform/records.py
@@ -54,6 +54,8 @@
     name: str
     # Maximum number of connections to each backend server, over all callers and VMs.
     max_conns: int = DEFAULT_MAX_CONNECTIONS
+    # Number of replicas that have received a commit before it is acknowledged.
+    sync_replicas: int = 0
 
 
 class _Limits(msgspec.Struct):
@@ -110,6 +112,10 @@
             service_record.name: service_record.max_conns
             for service_record in record.services
         },
+        sync_replicas={
+            service_record.name: service_record.sync_replicas
+            for service_record in record.services
+        },
         transaction_idle_s=record.limits.tx_idle_ms / 1000,
     )
 
--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -3,8 +3,10 @@
 The leader marks the group as changing, has every VM stop using the old primary, and
 makes the old primary step down if it answers. It then waits until a replica has
 received the old primary's whole log, or after a time limit takes the most advanced
-replica, promotes it and records it as the new primary. Every step can be repeated, so
-that a new leader can continue a change that its predecessor began.
+replica, promotes it and records it as the new primary. Where replicas acknowledge
+commits, it first waits for the reports of so many that one of them has all commits.
+Every step can be repeated, so that a new leader can continue a change that its
+predecessor began.
 """
 
 import asyncio
@@ -35,6 +37,11 @@
 from citronwood.relay.probes import STATUS_TIMEOUT_S, Probe, Probes
 from citronwood.relay.registry import RegisteredVm
 from citronwood.relay.servers import Servers
+from citronwood.relay.successor import (
+    Candidate,
+    choose_successor,
+    holds_acknowledged_commits,
+)
 from citronwood.relay.view import LEASE_S, GroupState, PrimaryView
 
 log = logging.getLogger(__name__)
@@ -102,6 +109,7 @@
         has_ended: Callable[[str], Awaitable[bool]],
         fence_locally: Callable[[FenceGroup], Awaitable[None]],
         groups: Callable[[], frozenset[str]],
+        sync_replicas: Callable[[str], int],
     ) -> None:
         self._name = name
         self._leadership = leadership
@@ -114,6 +122,7 @@
         self._has_ended = has_ended
         self._fence_locally = fence_locally
         self._groups = groups
+        self._sync_replicas = sync_replicas
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._step_down_tasks: set[asyncio.Task[None]] = set()
         self._last_status_at: dict[str, float] = {}
@@ -344,18 +353,17 @@
         self, group: str, current: GroupState
     ) -> tuple[str, int] | None:
         """Return the primary that an earlier attempt promoted and its term, or None."""
-        for server, probe in await self._probe_group(group):
+        for server, probe in await self._probe_group(group, current):
             if probe.status.is_primary and probe.status.term > current.term:
                 return server.id, probe.status.term
         return None
 
-    async def _probe_group(self, group: str) -> list[tuple[BackendServer, Probe]]:
+    async def _probe_group(
+        self, group: str, current: GroupState
+    ) -> list[tuple[BackendServer, Probe]]:
         servers = self._servers.of_group(group)
         probes = await asyncio.gather(
-            *(
-                self._probes.status(member.id, deadline_in(STATUS_TIMEOUT_S))
-                for member in servers
-            )
+            *(self._status_in_change(member.id, current) for member in servers)
         )
         return [
             (member, probe)
@@ -363,6 +371,19 @@
             if probe
         ]
 
+    async def _status_in_change(self, server: str, current: GroupState) -> Probe | None:
+        """Return a server's status, also while all of its slots are in use.
+
+        A status request takes a slot. An order to step down takes none and is answered
+        with the status as well; it has an effect only on a primary that is replaced.
+        """
+        probe = await self._probes.status(server, deadline_in(STATUS_TIMEOUT_S))
+        if probe is None and self._probes.answered_within(server, RECENT_ANSWER_S):
+            probe = await self._probes.step_down(
+                server, current.term + 1, deadline_in(STATUS_TIMEOUT_S)
+            )
+        return probe
+
     async def _promote_successor(
         self, group: str, current: GroupState
     ) -> tuple[str, int]:
@@ -371,34 +392,35 @@
         catch_up_until = now() + CATCH_UP_TIMEOUT_S
         excluded_until = now() + OLD_PRIMARY_EXCLUSION_S
         rejected: set[str] = set()
+        is_waiting = False
         while True:
-            probed = await self._probe_group(group)
+            probed = await self._probe_group(group, current)
             for server, probe in probed:
                 if probe.status.is_primary and probe.status.term > current.term:
                     return server.id, probe.status.term
-            candidates = [
-                candidate
-                for candidate in probed
-                if candidate[0].id not in rejected
-                and (candidate[0].id != current.primary or now() >= excluded_until)
-            ]
-            if candidates:
-                server, probe = max(
-                    candidates,
-                    key=lambda candidate: (
-                        candidate[1].status.received,
-                        not candidate[0].draining,
-                    ),
-                )
-                is_behind = (
-                    old_position is not None and probe.status.received < old_position
-                )
-                if not is_behind or now() >= catch_up_until:
-                    term = await self._try_promote(group, current, server.id)
+            chosen = choose_successor(
+                Candidate(server, probe.status.received)
+                for server, probe in probed
+                if server.id not in rejected
+                and (server.id != current.primary or now() >= excluded_until)
+            )
+            if chosen is not None:
+                is_behind = old_position is not None and chosen.received < old_position
+                has_all_commits = (
+                    old_position is not None and not is_behind
+                ) or self._holds_acknowledged_commits(current, chosen, probed)
+                if has_all_commits and (not is_behind or now() >= catch_up_until):
+                    term = await self._try_promote(group, current, chosen.server.id)
                     if term is not None:
-                        return server.id, term
-                    rejected.add(server.id)
+                        return chosen.server.id, term
+                    rejected.add(chosen.server.id)
                     continue
+                if not has_all_commits:
+                    # A server that was rejected may be the only one that has them.
+                    rejected.clear()
+                    if not is_waiting:
+                        is_waiting = True
+                        _log_wait_for_reports(group, current, probed)
             elif rejected:
                 rejected.clear()
                 await asyncio.sleep(RETRY_INTERVAL_S)
@@ -406,6 +428,26 @@
                 raise NotLeaderError("lost leadership during a change of primary")
             await asyncio.sleep(POLL_INTERVAL_S)
 
+    def _holds_acknowledged_commits(
+        self,
+        current: GroupState,
+        chosen: Candidate,
+        probed: list[tuple[BackendServer, Probe]],
+    ) -> bool:
+        """Whether a server has all commits that callers know to be kept."""
+        group = chosen.server.group
+        replicas = self._replacements(group, current.primary)
+        return holds_acknowledged_commits(
+            chosen.received,
+            [
+                probe.status.received
+                for server, probe in probed
+                if server.id != current.primary
+            ],
+            len(replicas),
+            self._sync_replicas(group),
+        )
+
     async def _step_down_old_primary(self, current: GroupState) -> Position | None:
         """Make the old primary step down; return its log position if it answers."""
         if self._servers.get(current.primary) is None:
@@ -435,7 +477,7 @@
             return None
         promotion_end = now() + PROMOTION_TIMEOUT_S
         while now() < promotion_end:
-            probe = await self._probes.status(server, deadline_in(STATUS_TIMEOUT_S))
+            probe = await self._status_in_change(server, current)
             if (
                 probe is not None
                 and probe.status.is_primary
@@ -455,3 +497,18 @@
             if probe is not None or self._servers.get(server) is None:
                 return
             await asyncio.sleep(RETRY_INTERVAL_S)
+
+
+def _log_wait_for_reports(
+    group: str, current: GroupState, probed: list[tuple[BackendServer, Probe]]
+) -> None:
+    servers = ", ".join(server.id for server, _ in probed) or "no server"
+    log_state(
+        log,
+        "primary_change",
+        "waiting",
+        f"group: {group}: only {servers} reported; another one may have commits that "
+        "were acknowledged",
+        group=group,
+        term=current.term,
+    )
--- a/citronwood/relay/model.py
+++ b/citronwood/relay/model.py
@@ -46,7 +46,8 @@
     """One version of the configuration.
 
     ``connection_caps`` has an entry for each group: the maximum number of connections
-    to each of its servers, for all VMs together.
+    to each of its servers, for all VMs together. ``sync_replicas`` has the number of
+    replicas that have received a commit of a group before it is acknowledged.
     """
 
     version: int
@@ -54,6 +55,7 @@
     accounts: dict[str, Account]
     account_of_key: dict[str, str]
     connection_caps: dict[str, int]
+    sync_replicas: dict[str, int]
     transaction_idle_s: float
 
 
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -290,6 +290,7 @@
             has_ended,
             self._fence,
             self._groups,
+            self._sync_replicas,
         )
         self._tasks.append(asyncio.create_task(self._failover.run()))
 
@@ -460,6 +461,9 @@
             return frozenset()
         return frozenset(self._rules.connection_caps)
 
+    def _sync_replicas(self, group: str) -> int:
+        return 0 if self._rules is None else self._rules.sync_replicas.get(group, 0)
+
     def _apply_rules(self, rules: Rules) -> None:
         if self._rules is None or rules.version > self._rules.version:
             self._rules = rules
--- a/tests/relay_standins.py
+++ b/tests/relay_standins.py
@@ -260,12 +260,19 @@
         self.is_primary = False
         self.running = False
         self.is_behind = False
+        # Whether status requests find no free slot.
+        self.is_busy = False
         # Number of the group's last writes that this server has not received.
         self.missing_writes = 0
         # Instead of answering the next ``answers_to_lose`` statements of callers, the
         # server executes them and closes the connection.
         self.answers_to_lose = 0
+        # The next ``settings_to_fail`` changes of a connection's variables or prepared
+        # statements are made, but answered with FAILED.
+        self.settings_to_fail = 0
         self.statements = []
+        # By request id: the variables of the connection when the statement ran.
+        self.variables = {}
         self.accounts = []
         self.port = 0
         self._server = None
@@ -322,6 +329,7 @@
                 return
             _, request_id, text = line.split(" ", 2)
             self.statements.append((request_id, text))
+            self.variables[request_id] = dict(session.variables)
             result = self._run(session, text)
             if self.answers_to_lose and request_id != "-":
                 self.answers_to_lose -= 1
@@ -333,8 +341,10 @@
         return f"{self.group.term}.{self.group.number - self.missing_writes}"
 
     def _run(self, session, text):
+        if text == "STATUS" and self.is_busy:
+            return "ERROR BUSY slots\r\n"
         if text == "STATUS" or text.startswith("STEPDOWN"):
-            if text.startswith("STEPDOWN"):
+            if text != "STATUS" and int(text.split(" ")[1]) > self.group.term:
                 self.is_primary = False
             role = "primary" if self.is_primary else "replica"
             position = self._position()
@@ -345,7 +355,11 @@
                 return "ERROR LAGGING behind\r\n"
             text = text.split(" ", 2)[2]
         verb, _, parameters = text.partition(" ")
-        return getattr(self, f"_{verb.lower()}")(session, parameters)
+        result = getattr(self, f"_{verb.lower()}")(session, parameters)
+        if self.settings_to_fail and verb in ("SET", "RESET", "PREPARE"):
+            self.settings_to_fail -= 1
+            return "ERROR FAILED overheated\r\n"
+        return result
 
     def _done(self):
         return f"DONE {self.id}.{next(self._signatures)}\r\n"
@@ -388,10 +402,13 @@
         self.group.writes.append((item, value))
 
     def _set(self, session, parameters):
+        name, _, value = parameters.partition(" ")
+        session.variables[name] = value
         return self._done()
 
     def _reset(self, session, parameters):
         session.prepared.clear()
+        session.variables.clear()
         return self._done()
 
     def _prepare(self, session, parameters):
@@ -413,6 +430,7 @@
         self.state = "I"
         self.writes = []
         self.prepared = {}
+        self.variables = {}
 
     def end_transaction(self):
         self.state = "I"
@@ -456,7 +474,12 @@
 
 
 def configuration(
-    version=1, kind="read_your_writes", keys=("key-1",), max_conns=60, **tenant
+    version=1,
+    kind="read_your_writes",
+    keys=("key-1",),
+    max_conns=60,
+    sync_replicas=0,
+    **tenant,
 ):
     """Return a configuration as the operator writes it."""
     return {
@@ -472,7 +495,9 @@
                 "allow_anonymous": False,
             }
         ],
-        "services": [{"name": "orders", "max_conns": max_conns}],
+        "services": [
+            {"name": "orders", "max_conns": max_conns, "sync_replicas": sync_replicas}
+        ],
         "limits": {"tx_idle_ms": 3000},
         "tenants": [
             {
--- a/tests/test_relay_callers.py
+++ b/tests/test_relay_callers.py
@@ -71,7 +71,7 @@
     """Relay node that gives every caller the same session."""
 
     def __init__(self, session):
-        self.rules = Rules(1, {}, {}, {}, {}, 3.0)
+        self.rules = Rules(1, {}, {}, {}, {}, {}, 3.0)
         self._session = session
         self.ready = asyncio.Event()
         self.ready.set()
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -420,6 +420,46 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("is_busy", [True, False])
+def test_replica_with_acknowledged_commits_is_promoted(is_busy):
+    # Guards against the promotion of a replica that lacks acknowledged commits, because
+    # the one that has them answers status requests with "busy", or late.
+    async def scenario(vms, store, group):
+        old, newest, behind = group.servers
+        newest.is_busy, behind.missing_writes = is_busy, 1
+        caller = await Caller.connect(vms[1].port)
+        lines, _ = await caller.execute("WRITE x 1")
+        assert lines[0].startswith("DONE")
+        if not is_busy:
+            await newest.stop()
+        await old.stop()
+        if not is_busy:
+            leader = next(vm for vm in vms if vm.node._leadership.is_leader)
+            probes = leader.node._probes
+            await eventually(lambda: probes.answered_within(behind.id, 0.1), 10.0)
+            await newest.start()
+        await eventually(
+            lambda: all(primary(vm) not in (None, old.id) for vm in vms), 10.0
+        )
+        assert [server for _, server, _, _ in group.promotions] == [newest.id]
+
+    run(scenario, sync_replicas=1)
+
+
+def test_replica_that_has_left_does_not_prevent_a_change_of_primary():
+    async def scenario(vms, store, group):
+        old, gone, remaining = group.servers
+        await gone.stop()
+        await old.stop()
+        await store.delete("servers", gone.id, 0, 0.0)
+        await eventually(
+            lambda: all(primary(vm) not in (None, old.id) for vm in vms), 12.0
+        )
+        assert [server for _, server, _, _ in group.promotions] == [remaining.id]
+
+    run(scenario, sync_replicas=1)
+
+
 def test_unreachable_vm_delays_a_change_of_primary_by_its_lease():
     # A VM that is cut off may use the old primary until its lease expires.
     async def scenario(vms, store, group):
--- a/tests/test_relay_grantors.py
+++ b/tests/test_relay_grantors.py
@@ -54,7 +54,7 @@
         self.number = number
         self.url = f"tcp://vm{number}:1"
         self.calls = []
-        rules = Rules(1, {}, fleet.accounts, {}, {}, 3.0)
+        rules = Rules(1, {}, fleet.accounts, {}, {}, {}, 3.0)
         self.buckets = AccountBuckets(lambda: rules)
         self.buckets.set_vm_count(VMS)
         self.view = View(fleet.state)
--- a/tests/test_relay_limiter.py
+++ b/tests/test_relay_limiter.py
@@ -26,7 +26,7 @@
         self.accounts = {
             name: Account(name, RATE, BURST) for name in ("hot", "calm", "other")
         }
-        rules = Rules(1, {}, self.accounts, {}, {}, 3.0)
+        rules = Rules(1, {}, self.accounts, {}, {}, {}, 3.0)
         self.buckets = AccountBuckets(lambda: rules)
         self.buckets.set_vm_count(VMS)
         self.disconnected = set()
--- a/tests/test_relay_records.py
+++ b/tests/test_relay_records.py
@@ -42,6 +42,7 @@
     assert rules.account_of_key == {"key-1": "acme"}
     assert rules.accounts["acme"].rate == 1000
     assert rules.connection_caps == {"orders": 60}
+    assert rules.sync_replicas == {"orders": 0}
 
 
 @pytest.mark.parametrize(
