Close a connection whose variables are unknown after a failure

Cause: the server had run SET and answered FAILED. The pool took that as not run, kept the variables that it had known before, and gave the connection to other sessions.

On the earlier pool the new test sees {'color': 'red'} on the connection of a session that has set nothing.

Change: after a failure of SET, RESET or PREPARE that is no promise of "not run", the connection is closed. After FAILED and TIMEOUT it counts as lost before the statement was sent, so that the statement gets another attempt, and a transaction is rolled back. No other session can get such a connection.

--- a/citronwood/relay/pool.py
+++ b/citronwood/relay/pool.py
@@ -29,6 +29,8 @@
 from citronwood.relay.clock import now
 from citronwood.relay.model import BackendServer, Position
 from citronwood.relay.statement import (
+    NOT_RUN,
+    RUN_AND_FAILED,
     Answer,
     Reason,
     ServerConnection,
@@ -239,12 +241,23 @@
     async def _run_setup(self, step: Awaitable[Answer | None]) -> Answer | None:
         """Await a step before the statement and return its answer if it failed.
 
-        If the connection is lost meanwhile, the statement itself was not sent.
+        If the connection is lost meanwhile, the statement itself was not sent. After a
+        failure of a step that the server may have run, the variables are unknown. The
+        connection is closed then, and counts as lost if another attempt may succeed.
         """
         try:
-            return await step
+            answer = await step
         except ConnectionLostError as error:
             raise ConnectionLostError(str(error), sent=False) from error
+        if answer is None or answer.failure is None:
+            return None
+        if answer.failure.reason in NOT_RUN:
+            return answer
+        self.raw.abort()
+        if answer.failure.reason not in RUN_AND_FAILED:
+            return answer
+        text = f"the session's settings are unknown: {answer.failure.message}"
+        raise ConnectionLostError(text, sent=False)
 
     async def _apply_variables(
         self, settings: SessionSettings, deadline: float
--- a/citronwood/relay/statement.py
+++ b/citronwood/relay/statement.py
@@ -76,6 +76,9 @@
     }
 )
 
+# With these reasons, the backend server has run the statement.
+RUN_AND_FAILED = frozenset({Reason.FAILED, Reason.TIMED_OUT})
+
 
 class Failure(NamedTuple):
     """Reason with a message for the caller."""
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -170,6 +170,45 @@
     run(scenario)
 
 
+@pytest.mark.parametrize(
+    ("setting", "begin", "expected"),
+    [
+        # Another attempt succeeds, on another connection.
+        ("SET color red", "", "DONE orders-0."),
+        ("SET color red", "BEGIN", "DONE orders-0."),
+        ("PREPARE s1 READ q", "", "DONE orders-0."),
+        # The transaction had begun, and ends with its connection.
+        ("PREPARE s1 READ q", "BEGIN", "ERROR ABORTED"),
+    ],
+)
+def test_setting_that_ran_and_failed_does_not_reach_another_session(
+    setting, begin, expected
+):
+    # Guards against a connection that goes back to its pool with the variables of a
+    # session, because the server changed them and answered with a failure.
+    async def scenario(vms, store, group):
+        server = group.servers[0]
+        first = await Caller.connect(vms[0].port)
+        await first.execute(setting)
+        server.settings_to_fail = 1
+        if begin:
+            await first.execute(begin)
+        text = "EXECUTE s1 x" if setting.startswith("PREPARE") else "READ x"
+        lines, state = await first.execute(text)
+        assert server.settings_to_fail == 0
+        if state != "I":
+            assert (await first.execute("ROLLBACK"))[1] == "I"
+        second = await Caller.connect(vms[0].port)
+        await second.execute("WRITE y 1")
+        request_id, _ = next(
+            statement for statement in server.statements if statement[1] == "WRITE y 1"
+        )
+        assert server.variables[request_id] == {}
+        assert lines[-1].startswith(expected)
+
+    run(scenario, kind="primary", count=1)
+
+
 def test_aborted_transaction_does_not_begin_later():
     # Guards against transactions that a stopping VM or the idle timeout has aborted
     # before their first statement, and which then run after all.
