Replace a draining primary that has no slot free

Cause: the leader evaluated the primary's entry only after the primary had given its status. One that answers BUSY gave none, and counted as alive. The order to step down was sent once and would have been lost at a busy primary as well.

The new test fails on the earlier code.

Change: the reasons to replace a primary are in a method of their own. An answer without a status is enough for the reason "draining".

--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -179,35 +179,8 @@
 
     async def _check_primary(self, group: str, current: GroupState) -> None:
         """Replace a primary that is silent, draining or no longer primary."""
-        pool = self._servers.get(current.primary)
-        probe = None
-        if pool is not None:
-            probe = await self._probes.status(
-                current.primary, deadline_in(STATUS_TIMEOUT_S)
-            )
-        time = now()
-        if probe is not None:
-            self._last_status_at[group] = time
-            if not probe.status.is_primary:
-                reason = "it is no primary any more"
-            elif pool is not None and pool.server.draining:
-                reason = "it is draining"
-            else:
-                if self._view.primary_of(group) == current.primary:
-                    self._probes.record_position(group, probe)
-                return
-        else:
-            if self._probes.answered_within(current.primary, RECENT_ANSWER_S):
-                return
-            silent_s = time - self._last_status_at.setdefault(group, time)
-            if silent_s < SILENCE_TIMEOUT_S:
-                return
-            if pool is not None and await self._is_reachable_by_others(current.primary):
-                # The other VMs are asked again after half of the timeout.
-                self._last_status_at[group] = time - SILENCE_TIMEOUT_S / 2
-                return
-            reason = f"it was silent for {silent_s:.1f} s"
-        if not self._replacements(group, current.primary):
+        reason = await self._reason_to_replace(group, current)
+        if reason is None or not self._replacements(group, current.primary):
             return
         log_state(
             log,
@@ -224,6 +197,38 @@
         self._last_status_at.pop(group, None)
         await self._replace_primary(group, changing)
 
+    async def _reason_to_replace(self, group: str, current: GroupState) -> str | None:
+        """Return why a primary has to be replaced; None if it may stay."""
+        probe = await self._probes.status(
+            current.primary, deadline_in(STATUS_TIMEOUT_S)
+        )
+        time = now()
+        if probe is not None:
+            self._last_status_at[group] = time
+            if not probe.status.is_primary:
+                return "it is no primary any more"
+        elif not self._probes.answered_within(current.primary, RECENT_ANSWER_S):
+            return await self._reason_of_silence(group, current.primary)
+        # A server without a free slot answers, but reports no status.
+        if self._is_draining(current.primary):
+            return "it is draining"
+        if probe is not None and self._view.primary_of(group) == current.primary:
+            self._probes.record_position(group, probe)
+        return None
+
+    async def _reason_of_silence(self, group: str, primary: str) -> str | None:
+        """Return for how long a primary was silent; None if it may still serve."""
+        time = now()
+        silent_s = time - self._last_status_at.setdefault(group, time)
+        if silent_s < SILENCE_TIMEOUT_S:
+            return None
+        is_listed = self._servers.get(primary) is not None
+        if is_listed and await self._is_reachable_by_others(primary):
+            # The other VMs are asked again after half of the timeout.
+            self._last_status_at[group] = time - SILENCE_TIMEOUT_S / 2
+            return None
+        return f"it was silent for {silent_s:.1f} s"
+
     async def _is_reachable_by_others(self, server: str) -> bool:
         """Whether at least half of the VMs that answer and know the server reach it."""
         vms = [peer for peer in await self._list_vms() if peer.name != self._name]
@@ -449,13 +454,23 @@
         )
 
     async def _step_down_old_primary(self, current: GroupState) -> Position | None:
-        """Make the old primary step down; return its log position if it answers."""
-        if self._servers.get(current.primary) is None:
-            return None
-        probe = await self._probes.step_down(
-            current.primary, current.term + 1, deadline_in(STATUS_TIMEOUT_S)
-        )
-        return None if probe is None else probe.status.received
+        """Make the old primary step down; return its log position if it answers.
+
+        One without a free slot is asked again: the statements that held its slots end,
+        because no VM uses it any more.
+        """
+        give_up_at = now() + CATCH_UP_TIMEOUT_S
+        while self._servers.get(current.primary) is not None:
+            probe = await self._probes.step_down(
+                current.primary, current.term + 1, deadline_in(STATUS_TIMEOUT_S)
+            )
+            if probe is not None:
+                return probe.status.received
+            is_busy = self._probes.answered_within(current.primary, RECENT_ANSWER_S)
+            if not is_busy or now() >= give_up_at:
+                break
+            await asyncio.sleep(POLL_INTERVAL_S)
+        return None
 
     async def _try_promote(
         self, group: str, current: GroupState, server: str
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -413,6 +413,22 @@
     run(scenario)
 
 
+def test_draining_primary_without_a_free_slot_is_replaced():
+    # Guards against statements at a primary until it exits, because it has no slot free
+    # for the status request that precedes its replacement.
+    async def scenario(vms, store, group):
+        draining = group.servers[0]
+        draining.is_busy = True
+        entry = {**draining.entry(), "state": "draining"}
+        store.put_directly("servers", draining.id, entry)
+        await eventually(
+            lambda: all(primary(vm) not in (None, draining.id) for vm in vms)
+        )
+        assert len(group.promotions) == 1
+
+    run(scenario)
+
+
 def test_draining_server_with_the_longest_log_is_replaced_before_it_is_used():
     # Guards against statements at a server that is about to leave: a primary was cut
     # off while the replica with the longest log was draining.
