Restart the loops of a VM after an unexpected error

After one unexpected error in its task, a VM goes on without leader election, reports, lists or maintenance, and nothing is logged.

Cause: the list of VMs was decoded without checks, and background tasks had no handler and were awaited only at the stop.

A check of a group that fails is logged and repeated.

Also: a registration in progress forgets the version of the entry before it, so that a stop finds the entry by its process; the docstring of _Stop and the log text of a kept entry say what happens.

--- a/citronwood/platform/callers.py
+++ b/citronwood/platform/callers.py
@@ -61,9 +61,11 @@
     """How far the planned stop of this VM has come.
 
     Load pattern: callers send the next statement as soon as they have the answer to the
-    last one, so that their sessions are hardly ever idle. A statement that arrives
-    ``refuses_operations`` later is refused as not run, and its session is closed after
-    that answer. The statements that run then have the rest of the grace period to end.
+    last one, so that their sessions are hardly ever idle. While ``refuses_operations``
+    is set, a statement that begins an operation is refused as not run, and its session
+    is closed after that answer. The statements that run by then have the rest of the
+    grace period to end. While ``ends_transactions`` is set, open transactions are
+    aborted before their next statement.
     """
 
     def __init__(self) -> None:
--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -16,7 +16,7 @@
 from typing import Protocol
 
 from citronwood.deadline import deadline_in
-from citronwood.decisions import log_state
+from citronwood.decisions import log_state, may_log
 from citronwood.errors import (
     CallFailedError,
     DeadlineExceededError,
@@ -158,6 +158,10 @@
             return
         except PlatformError as error:
             log_state(log, "change_delayed", "failed", f"group: {group}: {error}")
+        except Exception:
+            # The group is checked again with the next interval.
+            if may_log(log, "change_delayed", "unexpected"):
+                log.exception("group: %s: unexpected error", group)
 
     async def _adopt_primary(self, group: str) -> None:
         """Record the server that reports itself as primary of a new group."""
@@ -231,7 +235,11 @@
 
     async def _is_reachable_by_others(self, server: str) -> bool:
         """Whether at least half of the VMs that answer and know the server reach it."""
-        vms = [peer for peer in await self._list_vms() if peer.name != self._name]
+        vms = [
+            peer
+            for peer in await self._list_vms()
+            if peer.url and peer.name != self._name
+        ]
         vms = random.sample(vms, min(MAX_WITNESSES, len(vms)))
         answers = await asyncio.gather(*(self._ask_reachable(vm, server) for vm in vms))
         votes = [vote for vote in answers if vote is not None]
@@ -334,16 +342,7 @@
         self, vm: RegisteredVm, message: FenceGroup, lease_end: float
     ) -> None:
         while now() < lease_end:
-            try:
-                await self._rpc.call(
-                    vm.url, message, GroupFenced, deadline_in(FENCE_CALL_TIMEOUT_S)
-                )
-            except (PeerUnavailableError, DeadlineExceededError, CallFailedError):
-                if await self._has_ended(vm.url):
-                    return
-            else:
-                # An answer from a newer process at this address counts as well,
-                # because the registered process has then ended.
+            if vm.url and await self._has_stopped_using(vm, message):
                 return
             await asyncio.sleep(FENCE_RETRY_INTERVAL_S)
         log_state(
@@ -354,6 +353,17 @@
             group=message.group,
         )
 
+    async def _has_stopped_using(self, vm: RegisteredVm, message: FenceGroup) -> bool:
+        try:
+            await self._rpc.call(
+                vm.url, message, GroupFenced, deadline_in(FENCE_CALL_TIMEOUT_S)
+            )
+        except (PeerUnavailableError, DeadlineExceededError, CallFailedError):
+            return await self._has_ended(vm.url)
+        # An answer from a newer process at this address counts as well, because the
+        # registered process has then ended.
+        return True
+
     async def _find_promoted(
         self, group: str, current: GroupState
     ) -> tuple[str, int] | None:
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -50,7 +50,7 @@
 from citronwood.relay.session import Session
 from citronwood.relay.statement import ServerConnector
 from citronwood.relay.view import FleetState, PrimaryView
-from citronwood.tasks import cancel_tasks
+from citronwood.tasks import cancel_tasks, keep_running
 
 log = logging.getLogger(__name__)
 
@@ -223,7 +223,7 @@
 
     async def start(self) -> None:
         """Join the fleet; return after the fleet's state was read and tasks started."""
-        self._tasks.append(asyncio.create_task(self._leadership.run()))
+        self._start_loop("the leader election", self._leadership.run)
         while (state := self._view.state) is None:
             await self._view.wait_for_change()
         self._start_rpc(state.secret)
@@ -231,15 +231,22 @@
         # fetched from the leader, or from the store if that fails.
         await self._reports.report({})
         await self._feeds.fetch()
-        loops: list[Awaitable[None]] = [
-            self._feeds.run(),
-            self._reports.run(self._limiter.pop_unused),
-            self._registry.follow(),
-            self._run_maintenance(),
-        ]
-        for loop in loops:
-            self._tasks.append(asyncio.ensure_future(loop))
-        self._registration_task = asyncio.create_task(self._registry.register())
+        self._start_loop("the reading of records", self._feeds.run)
+        self._start_loop(
+            "the reporting", lambda: self._reports.run(self._limiter.pop_unused)
+        )
+        self._start_loop("the list of VMs", self._registry.follow)
+        self._start_loop("the maintenance", self._run_maintenance)
+        self._registration_task = self._start_loop(
+            "the registration", self._registry.register
+        )
+
+    def _start_loop(
+        self, name: str, loop: Callable[[], Awaitable[None]]
+    ) -> asyncio.Task[None]:
+        task = asyncio.create_task(keep_running(name, loop))
+        self._tasks.append(task)
+        return task
 
     def stop_accepting(self) -> None:
         """Refuse statements of other VMs that do not belong to an open transaction."""
@@ -292,7 +299,7 @@
             self._groups,
             self._sync_replicas,
         )
-        self._tasks.append(asyncio.create_task(self._failover.run()))
+        self._start_loop("the failover", self._failover.run)
 
     async def _on_report(self, message: ReportToLeader, caller: Caller) -> LeaderAnswer:
         self._registry.note_report(caller.name)
--- a/citronwood/relay/registry.py
+++ b/citronwood/relay/registry.py
@@ -42,7 +42,10 @@
 
 
 class RegisteredVm(NamedTuple):
-    """VM that may use primaries; each registration has its own ``process`` id."""
+    """VM that may use primaries; each registration has its own ``process`` id.
+
+    ``url`` is empty if the entry is malformed; the VM can only be waited for then.
+    """
 
     name: str
     url: str
@@ -74,6 +77,14 @@
     )
 
 
+def _decode_vm(name: str, value: dict[str, Any]) -> RegisteredVm:
+    url, process = value.get("url"), value.get("process")
+    if isinstance(url, str) and isinstance(process, int):
+        return RegisteredVm(name, url, process)
+    log_state(log, "vms", "malformed", f"fleet: the entry of {name} is malformed")
+    return RegisteredVm(name, "", 0)
+
+
 def _to_processors(value: Any) -> float:
     is_usable = isinstance(value, int | float) and value > 0
     return float(value) if is_usable else 1.0
@@ -196,10 +207,9 @@
         listing = await self._store.list_objects(
             VM_KIND, deadline_in(STORE_CALL_TIMEOUT_S), stale_ok=stale_ok
         )
-        vms = []
-        for name, stored in listing.objects.items():
-            value = stored.value
-            vms.append(RegisteredVm(name, str(value["url"]), int(value["process"])))
+        vms = [
+            _decode_vm(name, stored.value) for name, stored in listing.objects.items()
+        ]
         if not stale_ok:
             self._vms = vms
         return vms
@@ -219,6 +229,7 @@
                 "processors": self._vm.processors,
                 "process": self._registration_id,
             }
+            self._entry_version = 0
             try:
                 self._entry_version = await self._write_entry(value)
             except PlatformError as error:
@@ -315,7 +326,7 @@
             )
         except ObjectNotFoundError:
             return
-        if stored.value.get("process") == process:
+        if _decode_vm(name, stored.value).process == process:
             await self._delete_entry(name, stored.version)
             log_state(
                 log,
@@ -334,5 +345,5 @@
                 log,
                 "vms",
                 "kept",
-                f"fleet: kept the entry of {name}, which a newer process has written",
+                f"fleet: kept the entry of {name}, which has changed meanwhile",
             )
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -20,6 +20,7 @@
 from citronwood.platform.wire import connect
 from citronwood.relay import node as node_module
 from citronwood.relay import registry as registry_module
+from citronwood.relay.clock import now
 from citronwood.relay.messages import ReportToLeader
 from citronwood.relay.node import FeedKinds, RelayNode, RelayOptions
 from citronwood.relay.statement import Reason, Statement, TransactionState, Verb
@@ -515,6 +516,56 @@
     run(scenario, sync_replicas=1)
 
 
+@pytest.mark.parametrize("entry", [{"process": 1}, {"url": 5, "process": 1}])
+def test_malformed_entry_of_a_vm_delays_a_change_of_primary_by_its_lease(entry):
+    # Guards against changes of primary that never end because one entry in the list of
+    # VMs cannot be read.
+    async def scenario(vms, store, group):
+        store.put_directly("citronwood-vms", "odd", entry)
+        started = now()
+        await group.servers[0].stop()
+        await eventually(
+            lambda: all(primary(vm) not in (None, "orders-0") for vm in vms), 12.0
+        )
+        assert now() - started >= LEASE_S
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("component", "method"),
+    [
+        ("_leadership", "_step"),
+        ("_feeds", "_is_poll_due"),
+        ("_reports", "report"),
+        ("_registry", "list_vms"),
+        ("_servers", "maintain"),
+        ("_failover", "_groups"),
+        ("_failover", "_check_primary"),
+    ],
+)
+def test_unexpected_error_does_not_end_a_loop(monkeypatch, component, method):
+    # Guards against a VM that goes on without its leader election, its reports or its
+    # lists after one unexpected error.
+    monkeypatch.setattr(registry_module, "VM_LIST_INTERVAL_S", 0.1)
+
+    async def scenario(vms, store, group):
+        leader = next(vm for vm in vms if vm.node._leadership.is_leader)
+        part = getattr(leader.node, component)
+        original, calls = getattr(part, method), []
+
+        def fail_once(*arguments, **options):
+            calls.append(arguments)
+            if len(calls) == 1:
+                raise ValueError("unexpected")
+            return original(*arguments, **options)
+
+        setattr(part, method, fail_once)
+        await eventually(lambda: len(calls) >= 3, 10.0)
+
+    run(scenario)
+
+
 def test_unreachable_vm_delays_a_change_of_primary_by_its_lease():
     # A VM that is cut off may use the old primary until its lease expires.
     async def scenario(vms, store, group):
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -48,3 +48,19 @@
         await cancel_tasks([])
 
     asyncio.run(scenario())
+
+
+def test_loop_that_fails_starts_again(monkeypatch, caplog):
+    # Guards against a part of the process that has ended while the rest goes on.
+    caplog.set_level("INFO")
+    monkeypatch.setattr(tasks_module, "RESTART_DELAY_S", 0.0)
+    runs = []
+
+    async def loop():
+        runs.append(len(runs))
+        if len(runs) < 3:
+            raise ValueError("malformed")
+
+    asyncio.run(tasks_module.keep_running("the loop", loop))
+    assert runs == [0, 1, 2]
+    assert "the loop ended with an unexpected error" in caplog.text
