Add review case 9: one unreadable entry hides all backend servers

A page of the store's list is decoded as a whole, so that half of a surrogate pair in one entry stops all updates of the list.

--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,6 @@
+#!/bin/bash
+# Runs the case; see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if
+# the case could not run.
+cd "$(dirname "${BASH_SOURCE[0]}")" || exit 2
+command -v python3 >/dev/null || exit 2
+exec python3 case.py
