Keep a draining server in the count during a change of primary

Cause: in the second promotion of a change, the server that is replaced was taken for the primary which acknowledged the commits. It was left out of the count of the replicas and of their positions, although it was the only one that had the commits. It was also told to step down at once, so that its successor could not receive the rest.

Change: the count is that of the whole change. With sync_replicas the replaced server leads on, without statements, until its successor has its log. Of several primaries the newest term counts, and a primary that returns is told to step down before another is promoted.

Stand-ins of tests: servers may receive nothing, be restarted without their log, and promotions record how many writes were lost.

--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -37,6 +37,7 @@
 from citronwood.relay.probes import STATUS_TIMEOUT_S, Probe, Probes
 from citronwood.relay.registry import RegisteredVm
 from citronwood.relay.servers import Servers
+from citronwood.relay.statement import ServerStatus
 from citronwood.relay.successor import (
     Candidate,
     choose_successor,
@@ -288,19 +289,20 @@
             self._step_down_tasks.add(task)
             task.add_done_callback(self._step_down_tasks.discard)
 
-    async def _promote_lasting(self, group: str, current: GroupState) -> GroupState:
+    async def _promote_lasting(self, group: str, change: GroupState) -> GroupState:
         """Promote a server that is not about to leave; return the group's new state.
 
         A draining server that has received more of the log than the others is promoted
         first, so that the others can receive the rest from it. No statement is sent to
         it, because the group stays blocked until its successor leads.
         """
+        replaced = change
         for _ in range(MAX_PROMOTIONS):
-            successor = await self._find_promoted(group, current)
+            successor = await self._find_promoted(group, replaced)
             if successor is None:
-                successor = await self._promote_successor(group, current)
+                successor = await self._promote_successor(group, change, replaced)
             primary, term = successor
-            current = current._replace(primary=primary, term=max(term, current.term))
+            replaced = replaced._replace(primary=primary, term=max(term, replaced.term))
             others = self._replacements(group, primary)
             if not self._is_draining(primary) or all(
                 other.draining for other in others
@@ -313,9 +315,9 @@
                 f"group: {group}: {primary} leads until its successor has its log, "
                 "because it is draining",
                 group=group,
-                term=current.term,
+                term=replaced.term,
             )
-        return current._replace(changing=False)
+        return replaced._replace(changing=False)
 
     def _is_draining(self, server: str) -> bool:
         pool = self._servers.get(server)
@@ -365,13 +367,10 @@
         return True
 
     async def _find_promoted(
-        self, group: str, current: GroupState
+        self, group: str, replaced: GroupState
     ) -> tuple[str, int] | None:
         """Return the primary that an earlier attempt promoted and its term, or None."""
-        for server, probe in await self._probe_group(group, current):
-            if probe.status.is_primary and probe.status.term > current.term:
-                return server.id, probe.status.term
-        return None
+        return _newest_primary(await self._probe_group(group, replaced), replaced.term)
 
     async def _probe_group(
         self, group: str, current: GroupState
@@ -400,32 +399,51 @@
         return probe
 
     async def _promote_successor(
-        self, group: str, current: GroupState
+        self, group: str, change: GroupState, replaced: GroupState
     ) -> tuple[str, int]:
-        """Promote the most advanced server; return the new primary and its term."""
-        old_position = await self._step_down_old_primary(current)
+        """Promote the most advanced server; return the new primary and its term.
+
+        ``replaced`` names the primary to replace and its term. In a change that goes on
+        after a first promotion, that is not the primary which ``change`` names.
+        """
+        old_position = None
+        if not self._sync_replicas(group):
+            old_position = await self._step_down_old_primary(replaced)
+        has_stepped_down = False
         catch_up_until = now() + CATCH_UP_TIMEOUT_S
         excluded_until = now() + OLD_PRIMARY_EXCLUSION_S
         rejected: set[str] = set()
         is_waiting = False
         while True:
-            probed = await self._probe_group(group, current)
-            for server, probe in probed:
-                if probe.status.is_primary and probe.status.term > current.term:
-                    return server.id, probe.status.term
+            probed = await self._probe_group(group, replaced)
+            promoted = _newest_primary(probed, replaced.term)
+            if promoted is not None:
+                return promoted
+            old_status = _status_of(replaced.primary, probed)
+            leads = old_status is not None and old_status.is_primary
+            if old_status is not None and self._sync_replicas(group):
+                old_position = old_status.received
+            # One that is about to leave only leads until its successor has its log.
+            is_excluded = now() < excluded_until or (
+                leads and self._is_draining(replaced.primary)
+            )
             chosen = choose_successor(
                 Candidate(server, probe.status.received)
                 for server, probe in probed
                 if server.id not in rejected
-                and (server.id != current.primary or now() >= excluded_until)
+                and (server.id != replaced.primary or not is_excluded)
             )
             if chosen is not None:
                 is_behind = old_position is not None and chosen.received < old_position
                 has_all_commits = (
                     old_position is not None and not is_behind
-                ) or self._holds_acknowledged_commits(current, chosen, probed)
+                ) or self._holds_acknowledged_commits(change, chosen, probed)
                 if has_all_commits and (not is_behind or now() >= catch_up_until):
-                    term = await self._try_promote(group, current, chosen.server.id)
+                    if leads and not has_stepped_down:
+                        has_stepped_down = True
+                        await self._step_down_old_primary(replaced)
+                        continue
+                    term = await self._try_promote(group, replaced, chosen.server.id)
                     if term is not None:
                         return chosen.server.id, term
                     rejected.add(chosen.server.id)
@@ -435,7 +453,7 @@
                     rejected.clear()
                     if not is_waiting:
                         is_waiting = True
-                        _log_wait_for_reports(group, current, probed)
+                        _log_wait_for_reports(group, replaced, probed)
             elif rejected:
                 rejected.clear()
                 await asyncio.sleep(RETRY_INTERVAL_S)
@@ -445,19 +463,23 @@
 
     def _holds_acknowledged_commits(
         self,
-        current: GroupState,
+        change: GroupState,
         chosen: Candidate,
         probed: list[tuple[BackendServer, Probe]],
     ) -> bool:
-        """Whether a server has all commits that callers know to be kept."""
+        """Whether a server has all commits that callers know to be kept.
+
+        All other servers than the primary at the start of the change may have
+        acknowledged them, also one that has been promoted meanwhile.
+        """
         group = chosen.server.group
-        replicas = self._replacements(group, current.primary)
+        replicas = self._replacements(group, change.primary)
         return holds_acknowledged_commits(
             chosen.received,
             [
                 probe.status.received
                 for server, probe in probed
-                if server.id != current.primary
+                if server.id != change.primary
             ],
             len(replicas),
             self._sync_replicas(group),
@@ -524,6 +546,27 @@
             await asyncio.sleep(RETRY_INTERVAL_S)
 
 
+def _newest_primary(
+    probed: list[tuple[BackendServer, Probe]], term: int
+) -> tuple[str, int] | None:
+    """Return the server that leads the newest term after this one, and its term."""
+    primaries = [
+        (probe.status.term, server.id)
+        for server, probe in probed
+        if probe.status.is_primary and probe.status.term > term
+    ]
+    if not primaries:
+        return None
+    newest_term, server = max(primaries)
+    return server, newest_term
+
+
+def _status_of(
+    server: str, probed: list[tuple[BackendServer, Probe]]
+) -> ServerStatus | None:
+    return next((probe.status for other, probe in probed if other.id == server), None)
+
+
 def _log_wait_for_reports(
     group: str, current: GroupState, probed: list[tuple[BackendServer, Probe]]
 ) -> None:
--- a/tests/relay_standins.py
+++ b/tests/relay_standins.py
@@ -221,6 +221,8 @@
         self.data = {}
         self.writes = []
         self.promotions = []
+        # By promotion: the number of the group's writes that the server lacked.
+        self.lost_writes = []
 
     async def __aenter__(self):
         for server in self.servers:
@@ -244,10 +246,16 @@
         if not chosen.running:
             return False
         if not chosen.is_primary:
+            lost = chosen.missing_writes
+            self.lost_writes.append(lost)
             self.term += 1
+            self.number -= lost
+            chosen.term = self.term
             for server in self.servers:
+                server.missing_writes -= lost
                 server.is_primary = server is chosen
-                server.missing_writes = 0
+            for server in self.servers:
+                server.receive_rest()
         return True
 
 
@@ -264,6 +272,12 @@
         self.is_busy = False
         # Number of the group's last writes that this server has not received.
         self.missing_writes = 0
+        # Whether the server receives nothing from the primary.
+        self.is_deaf = False
+        self.is_draining = False
+        # Term of the newest log entry.
+        self.term = 1
+        self.born = 1
         # Instead of answering the next ``answers_to_lose`` statements of callers, the
         # server executes them and closes the connection.
         self.answers_to_lose = 0
@@ -283,6 +297,7 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self._server.sockets[0].getsockname()[1]
         self.running = True
+        self.receive_rest()
 
     async def stop(self):
         self.running = False
@@ -291,16 +306,32 @@
         for writer in [*self._writers]:
             writer.transport.abort()
 
+    async def start_empty(self):
+        """Start again under the same id, without the log."""
+        self.born += 1
+        self.is_primary = False
+        self.missing_writes = self.group.number
+        self.term = 0
+        await self.start()
+
+    def receive_rest(self):
+        """Receive what this server lacks from the primary, if there is one."""
+        primary = next((s for s in self.group.servers if s.is_primary), None)
+        if self.is_deaf or not self.running or primary is None or not primary.running:
+            return
+        self.missing_writes = primary.missing_writes
+        self.term = primary.term
+
     def entry(self):
         """Return the server's object in the store."""
         return {
             "service": self.group.name,
             "address": f"127.0.0.1:{self.port}",
             "zone": "z1",
-            "state": "ready",
+            "state": "draining" if self.is_draining else "ready",
             "slots": 5,
             "db_role": "primary" if self.is_primary else "replica",
-            "born": 1,
+            "born": self.born,
             "seq": 1,
         }
 
@@ -338,7 +369,7 @@
             writer.write((result + state).encode())
 
     def _position(self):
-        return f"{self.group.term}.{self.group.number - self.missing_writes}"
+        return f"{self.term}.{self.group.number - self.missing_writes}"
 
     def _run(self, session, text):
         if text == "STATUS" and self.is_busy:
@@ -398,6 +429,9 @@
 
     def _apply(self, item, value):
         self.group.number += 1
+        for server in self.group.servers:
+            if server is not self and (server.is_deaf or not server.running):
+                server.missing_writes += 1
         self.group.data[item] = value
         self.group.writes.append((item, value))
 
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -97,6 +97,16 @@
     return vm.node._view.primary_of("orders")
 
 
+async def eventually_asked_again(server, count):
+    """Wait until the relay has asked a server for its status this many times more."""
+
+    def status_requests():
+        return sum(text == "STATUS" for _, text in server.statements)
+
+    target = status_requests() + count
+    await eventually(lambda: status_requests() >= target, 15.0)
+
+
 def run(scenario, **options):
     async def with_fleet():
         async with fleet(**options) as (vms, store, group):
@@ -457,6 +467,38 @@
     run(scenario)
 
 
+def test_draining_server_leads_until_its_successor_has_its_log():
+    # Guards against the loss of acknowledged commits that only the draining server has,
+    # because it is left out of the count when it is to be replaced itself.
+    async def scenario(vms, store, group):
+        old, draining, deaf = group.servers
+        deaf.is_deaf = True
+        caller = await Caller.connect(vms[0].port)
+        lines, _ = await caller.execute("WRITE x 1")
+        assert lines[0].startswith("DONE")
+        draining.is_draining = True
+        group.register(store)
+        await eventually(
+            lambda: all(vm.node._servers.get(draining.id).server.draining for vm in vms)
+        )
+        await old.stop()
+        await eventually(lambda: draining.is_primary, 10.0)
+        await store.delete("servers", old.id, 0, 0.0)
+        await eventually(
+            lambda: all(vm.node._servers.get(old.id) is None for vm in vms), 10.0
+        )
+        # Longer than the time for which a change waits for a server that is behind.
+        await eventually_asked_again(deaf, 50)
+        assert [server for _, server, _, _ in group.promotions] == [draining.id]
+        assert draining.is_primary
+        deaf.is_deaf = False
+        deaf.receive_rest()
+        await eventually(lambda: all(primary(vm) == deaf.id for vm in vms), 10.0)
+        assert group.lost_writes == [0, 0]
+
+    run(scenario, sync_replicas=1)
+
+
 def test_primary_that_fails_is_replaced():
     async def scenario(vms, store, group):
         caller = await Caller.connect(vms[1].port)
