Wait for every server that may hold an acknowledged commit alone

Cause: the leader counted the replicas that were listed at that moment. A replica that had left the list was not waited for, although nothing showed that its commits were elsewhere. On related paths, a server that came back empty under its id counted as having reported (as primary, its empty log counted as complete), commits of an earlier term were looked for only at the replicas, and a new leader did not know who had left.

Change: the fleet's state records the processes that may hold commits alone, with their highest positions. A lost one is dropped once all listed replicas have what the primary had. A report counts only if the log is not shorter than recorded. After the fence, the VMs name their newest acknowledged commits; a server that has them needs no further reports. The log and a gauge name the awaited servers, and sync_replicas 0 ends the wait. The fence and the promotion move to modules of their own. Without sync_replicas nothing is recorded.

Changed tests: note_report takes the process that reported; has_ended is at Fencing.

--- a/citronwood/platform/promotion.py
+++ b/citronwood/platform/promotion.py
@@ -14,7 +14,7 @@
 
 
 class HttpPromotion:
-    """Implements ``Promotion`` of ``citronwood.relay.failover`` over HTTP."""
+    """Implements ``Promotion`` of ``citronwood.relay.succession`` over HTTP."""
 
     def __init__(self, address: Address) -> None:
         self._url = f"http://{address.host}:{address.port}/promote"
--- a/citronwood/relay/leadership.py
+++ b/citronwood/relay/leadership.py
@@ -12,7 +12,7 @@
 import random
 import secrets
 from collections.abc import Callable
-from typing import Any, TypedDict
+from typing import Any, NotRequired, TypedDict
 
 import msgspec
 
@@ -28,6 +28,8 @@
 )
 from citronwood.platform.api import ObjectStore
 from citronwood.relay.clock import now
+from citronwood.relay.holders import Holder
+from citronwood.relay.model import Position
 from citronwood.relay.view import FleetState, GroupState, PrimaryView
 
 log = logging.getLogger(__name__)
@@ -52,11 +54,24 @@
 LEADER_CONTACT_S = 2.0
 
 
+# A position in a log: term and number.
+_PositionRecord = tuple[int, int]
+
+
+class _HolderRecord(TypedDict):
+    started_at: int
+    received: _PositionRecord
+
+
 class _GroupRecord(TypedDict):
     primary: str
     term: int
     changing: bool
     change: int
+    # Absent where replicas do not acknowledge commits.
+    holders: NotRequired[dict[str, _HolderRecord]]
+    began_at: NotRequired[_PositionRecord]
+    newest_commit: NotRequired[_PositionRecord]
 
 
 class _StateRecord(TypedDict):
@@ -85,12 +100,50 @@
 
 
 def _to_record(state: FleetState) -> dict[str, Any]:
-    groups = {name: group._asdict() for name, group in state.groups.items()}
+    groups = {name: _to_group_record(group) for name, group in state.groups.items()}
     return {**state._asdict(), "groups": groups}
 
 
+def _to_group_record(group: GroupState) -> dict[str, Any]:
+    record: dict[str, Any] = {
+        "primary": group.primary,
+        "term": group.term,
+        "changing": group.changing,
+        "change": group.change,
+    }
+    if group.holders:
+        record["holders"] = {
+            server: {"started_at": holder.started_at, "received": [*holder.received]}
+            for server, holder in group.holders.items()
+        }
+    if group.began_at is not None:
+        record["began_at"] = [*group.began_at]
+    if group.newest_commit is not None:
+        record["newest_commit"] = [*group.newest_commit]
+    return record
+
+
+def _from_group_record(record: _GroupRecord) -> GroupState:
+    holders = {
+        server: Holder(holder["started_at"], Position(*holder["received"]))
+        for server, holder in record.get("holders", {}).items()
+    }
+    began_at, commit = record.get("began_at"), record.get("newest_commit")
+    return GroupState(
+        primary=record["primary"],
+        term=record["term"],
+        changing=record["changing"],
+        change=record["change"],
+        holders=holders,
+        began_at=None if began_at is None else Position(*began_at),
+        newest_commit=None if commit is None else Position(*commit),
+    )
+
+
 def _from_record(record: _StateRecord) -> FleetState:
-    groups = {name: GroupState(**group) for name, group in record["groups"].items()}
+    groups = {
+        name: _from_group_record(group) for name, group in record["groups"].items()
+    }
     return FleetState(
         edition=record["edition"],
         leader=record["leader"],
--- a/citronwood/relay/messages.py
+++ b/citronwood/relay/messages.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from citronwood.relay.model import Position
+
 
 class ReportToLeader(NamedTuple):
     """Periodic report of a VM to the leader.
@@ -86,6 +88,25 @@
     process: int
 
 
+class AskCommits(NamedTuple):
+    """Request for the newest acknowledged commit, sent after the group was blocked."""
+
+    group: str
+
+
+class CommitsAnswer(NamedTuple):
+    """Newest commit of a group that a process knows to be acknowledged.
+
+    ``process`` is the process id of the VM's reports; with ``has_predecessor``, an
+    earlier process of the VM may have ended without removing its entry. ``position`` is
+    (0, 0) without a commit, and None if it is not known.
+    """
+
+    process: int
+    has_predecessor: bool
+    position: Position | None
+
+
 class StateChanged(NamedTuple):
     """Notification of a new version of the fleet's state, encoded as JSON."""
 
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -16,8 +16,9 @@
 from citronwood.platform.api import Listing, ObjectStore
 from citronwood.relay.absence import PrimaryAbsences
 from citronwood.relay.clock import now
-from citronwood.relay.failover import Failover, Promotion
+from citronwood.relay.failover import Failover
 from citronwood.relay.feeds import Feed
+from citronwood.relay.fencing import Fencing
 from citronwood.relay.follower import FeedFollower
 from citronwood.relay.forwarding import Forwarding
 from citronwood.relay.grantors import choose_deputies
@@ -25,7 +26,9 @@
 from citronwood.relay.leases import Leases
 from citronwood.relay.limiter import AccountBuckets, AccountLimiter, Grants
 from citronwood.relay.messages import (
+    AskCommits,
     AskReachable,
+    CommitsAnswer,
     FenceGroup,
     GroupFenced,
     LeaderAnswer,
@@ -36,6 +39,7 @@
 )
 from citronwood.relay.model import BackendServer, Rules
 from citronwood.relay.owners import Owners, is_forwarding_useful
+from citronwood.relay.positions import NewestCommits
 from citronwood.relay.probes import STATUS_TIMEOUT_S, Probes
 from citronwood.relay.registry import (
     VM_KIND,
@@ -49,6 +53,7 @@
 from citronwood.relay.servers import Servers
 from citronwood.relay.session import Session
 from citronwood.relay.statement import ServerConnector
+from citronwood.relay.succession import Promotion, Succession
 from citronwood.relay.view import FleetState, PrimaryView
 from citronwood.tasks import cancel_tasks, keep_running
 
@@ -114,7 +119,8 @@
         rules = Feed(kinds.rules, kinds.decode_rules, self._apply_rules)
         servers = Feed(kinds.servers, kinds.decode_servers, self._apply_servers)
         self._view = PrimaryView()
-        self._servers = Servers(connect, options.failure_domain)
+        self._commits = NewestCommits()
+        self._servers = Servers(connect, options.failure_domain, self._commits.note)
         self._servers_known = False
         self._missing_since: dict[str, float] = {}
         self._listed: dict[str, BackendServer] = {}
@@ -277,6 +283,7 @@
         rpc = Rpc(self._options.name, secret.encode(), self._metrics)
         rpc.on_call(ReportToLeader, self._on_report)
         rpc.on_call(FenceGroup, self._on_fence)
+        rpc.on_call(AskCommits, self._on_ask_commits)
         rpc.on_call(AskReachable, self._on_ask_reachable)
         rpc.on_notification(StateChanged, self._on_state)
         self._reports.start(rpc)
@@ -292,17 +299,32 @@
             self._servers,
             self._probes,
             rpc,
-            self._promote,
-            self._registry.list_vms,
-            has_ended,
-            self._fence,
+            self._registry,
+            Fencing(
+                self._options.name,
+                rpc,
+                self._registry.list_vms,
+                has_ended,
+                self._fence,
+                self._commits.of_group,
+            ),
+            Succession(
+                self._options.name,
+                self._leadership,
+                self._view,
+                self._servers,
+                self._probes,
+                self._promote,
+                self._sync_replicas,
+                self._metrics,
+            ),
             self._groups,
             self._sync_replicas,
         )
         self._start_loop("the failover", self._failover.run)
 
     async def _on_report(self, message: ReportToLeader, caller: Caller) -> LeaderAnswer:
-        self._registry.note_report(caller.name)
+        self._registry.note_report(caller.name, message.process)
         return self.answer_report(caller.name, message)
 
     def answer_report(self, vm: str, message: ReportToLeader) -> LeaderAnswer:
@@ -353,6 +375,10 @@
             if self._view.primary_of(order.group) is None:
                 pool.abort_all()
 
+    async def _on_ask_commits(self, message: AskCommits, _: Caller) -> CommitsAnswer:
+        newest = self._commits.of_group(message.group)
+        return CommitsAnswer(self._process, self._registry.has_predecessor, newest)
+
     async def _on_ask_reachable(
         self, message: AskReachable, _: Caller
     ) -> ReachableAnswer:
--- a/citronwood/relay/pool.py
+++ b/citronwood/relay/pool.py
@@ -15,7 +15,7 @@
 import hashlib
 import logging
 import random
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from time import monotonic
 from typing import Protocol
 
@@ -158,6 +158,8 @@
         self.floor: Position | None = None
         self.via = ""
         self.in_transaction = False
+        # Set when the connection was closed while in use.
+        self.is_aborted = False
         self.opened_at = self.used_at = monotonic()
         self._pool = pool
         self._variables: dict[str, str] = {}
@@ -190,6 +192,24 @@
         after: Position | None = None,
     ) -> Answer:
         """Run a statement with the session's variables set."""
+        answer = await self._run(statement, settings, deadline, after)
+        if self.is_aborted:
+            # An answer that was received at that moment must not be passed on: the
+            # commits of this VM have been named to the leader without it.
+            raise ConnectionLostError("the connection was closed", sent=True)
+        if self._pool.on_commit is not None and _has_committed(
+            statement, settings, answer
+        ):
+            self._pool.on_commit(self._pool.server.group, answer.position)
+        return answer
+
+    async def _run(
+        self,
+        statement: Statement,
+        settings: SessionSettings,
+        deadline: float,
+        after: Position | None,
+    ) -> Answer:
         self.asked_at = now()
         failed_answer = await self._run_setup(self._apply_variables(settings, deadline))
         if failed_answer is not None:
@@ -304,12 +324,20 @@
         Opens connections.
     limit : int
         Number of connections that may be in use at once.
+    on_commit : callable
+        Called with the group and the position when the server has acknowledged a
+        commit.
     """
 
     def __init__(
-        self, server: BackendServer, connect: ServerConnector, limit: int
+        self,
+        server: BackendServer,
+        connect: ServerConnector,
+        limit: int,
+        on_commit: Callable[[str, Position | None], None] | None = None,
     ) -> None:
         self.server = server
+        self.on_commit = on_commit
         self._connect = connect
         self._queue = FairQueue(limit, lambda _: 1.0)
         self._transactions = FairQueue(_transaction_limit(limit), lambda _: 1.0)
@@ -471,6 +499,7 @@
     def abort_all(self) -> None:
         """Close all connections, including those in use."""
         for connection in [*self._idle, *self._in_use]:
+            connection.is_aborted = True
             connection.raw.abort()
         self._idle.clear()
 
@@ -538,5 +567,16 @@
         return PooledConnection(raw, account, self)
 
 
+def _has_committed(
+    statement: Statement, settings: SessionSettings, answer: Answer
+) -> bool:
+    """Whether the answer acknowledges a commit, of a transaction or a single write."""
+    if answer.failure is not None or answer.state is not TransactionState.IDLE:
+        return False
+    if statement.verb is Verb.EXECUTE:
+        return settings.prepared[statement.name].writes
+    return statement.verb in (Verb.WRITE, Verb.COMMIT)
+
+
 def _transaction_limit(limit: int) -> int:
     return max(1, int(limit * TRANSACTION_SHARE))
--- a/citronwood/relay/positions.py
+++ b/citronwood/relay/positions.py
@@ -22,6 +22,26 @@
     position: Position
 
 
+class NewestCommits:
+    """Newest commit of each group that this process knows to be acknowledged."""
+
+    def __init__(self) -> None:
+        # None after a commit whose position is not known.
+        self._positions: dict[str, Position | None] = {}
+
+    def note(self, group: str, position: Position | None) -> None:
+        """Record a commit that a primary has acknowledged."""
+        known = self.of_group(group)
+        if known is None or position is None:
+            self._positions[group] = None
+        else:
+            self._positions[group] = max(known, position)
+
+    def of_group(self, group: str) -> Position | None:
+        """Return a position that covers all commits; None if it is not known."""
+        return self._positions.get(group, Position(0, 0))
+
+
 class GroupPositions:
     """Recent positions of one group's primaries."""
 
--- a/citronwood/relay/registry.py
+++ b/citronwood/relay/registry.py
@@ -135,12 +135,14 @@
         self._needs_list = needs_list
         self._vms: list[RegisteredVm] = []
         self._last_report_at: dict[str, float] = {}
+        self._processes: dict[str, int] = {}
         self._absent_since: dict[str, float] = {}
         self._has_removals_due = False
         self._registration_id = 0
         # Version of the entry that the store has acknowledged; 0 without one.
         self._entry_version = 0
         self._registered = False
+        self._has_predecessor: bool | None = None
 
     @property
     def vms(self) -> list[RegisteredVm]:
@@ -152,9 +154,26 @@
         """Whether the store has acknowledged an entry of this process."""
         return self._registered
 
-    def note_report(self, vm: str) -> None:
-        """Record that a VM has reported to this one."""
+    @property
+    def has_predecessor(self) -> bool:
+        """Whether this process found an entry of an earlier one when it registered."""
+        return self._has_predecessor is not False
+
+    @property
+    def known_processes(self) -> dict[str, int | None]:
+        """Processes of the other VMs that are listed or have lately reported.
+
+        None for a VM that has not reported to this one.
+        """
+        recent = now() - VM_LIST_INTERVAL_S
+        names = {vm.name for vm in self._vms}
+        names.update(vm for vm, at in self._last_report_at.items() if at >= recent)
+        return {name: self._processes.get(name) for name in names - {self._name}}
+
+    def note_report(self, vm: str, process: int) -> None:
+        """Record that a process of a VM has reported to this one."""
         self._last_report_at[vm] = now()
+        self._processes[vm] = process
 
     async def unregister(self) -> None:
         """Remove the entry of this VM; it must have stopped using primaries.
@@ -184,6 +203,7 @@
                 if not is_leader_now:
                     # Missing reports count only from the time this VM became leader.
                     self._last_report_at.clear()
+                    self._processes.clear()
                     self._absent_since.clear()
                     self._has_removals_due = False
                 has_contact = not is_leader_now and self._leadership.has_leader_contact
@@ -270,6 +290,8 @@
             expected = 0
         else:
             expected = stored.version
+        if self._has_predecessor is None:
+            self._has_predecessor = expected != 0
         return await self._store.put(
             VM_KIND, self._name, value, expected, deadline_in(STORE_CALL_TIMEOUT_S)
         )
--- a/citronwood/relay/servers.py
+++ b/citronwood/relay/servers.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 from time import monotonic
 
-from citronwood.relay.model import BackendServer, Role, Rules
+from citronwood.relay.model import BackendServer, Position, Role, Rules
 from citronwood.relay.pool import ServerPool
 from citronwood.relay.statement import ServerConnector
 
@@ -33,9 +33,15 @@
 class Servers:
     """Known backend servers with their connection pools."""
 
-    def __init__(self, connect: ServerConnector, failure_domain: str) -> None:
+    def __init__(
+        self,
+        connect: ServerConnector,
+        failure_domain: str,
+        on_commit: Callable[[str, Position | None], None] | None = None,
+    ) -> None:
         self._connect = connect
         self._failure_domain = failure_domain
+        self._on_commit = on_commit
         self._pools: dict[str, ServerPool] = {}
         self._groups: dict[str, list[str]] = {}
         self._suspect_until: dict[str, float] = {}
@@ -51,6 +57,15 @@
         """Return the known servers of a group."""
         return [self._pools[member].server for member in self._groups.get(group, ())]
 
+    def others_of_group(self, group: str, server: str) -> list[BackendServer]:
+        """Return the known servers of a group but this one."""
+        return [other for other in self.of_group(group) if other.id != server]
+
+    def is_draining(self, server: str) -> bool:
+        """Whether a known server is about to leave."""
+        pool = self._pools.get(server)
+        return pool is not None and pool.server.draining
+
     def replace(self, servers: Iterable[BackendServer]) -> None:
         """Apply the platform's newest list of servers."""
         listed = {entry.id: entry for entry in servers}
@@ -64,7 +79,7 @@
             existing = self._pools.get(server.id)
             if existing is None:
                 limit = self._connection_limit(server)
-                new_pool = ServerPool(server, self._connect, limit)
+                new_pool = ServerPool(server, self._connect, limit, self._on_commit)
                 new_pool.resize(limit, self._share(server))
                 self._pools[server.id] = new_pool
             else:
--- a/citronwood/relay/view.py
+++ b/citronwood/relay/view.py
@@ -13,6 +13,8 @@
 from typing import NamedTuple
 
 from citronwood.relay.clock import now
+from citronwood.relay.holders import Holder
+from citronwood.relay.model import Position
 
 # The lease outlasts short outages of the store, so that callers do not notice them. A
 # change of primary waits up to this long and a margin for a VM that does not answer.
@@ -25,13 +27,19 @@
 class GroupState(NamedTuple):
     """Primary of a group; it must not be used while ``changing`` is set.
 
-    ``change`` is the number of the newest change of primary in the group.
+    ``change`` is the number of the newest change of primary in the group. The other
+    fields are used where replicas acknowledge commits: the records of the servers that
+    may hold commits which no other has, the position at which the primary's term began,
+    and during a change the newest acknowledged commit, if all VMs have named theirs.
     """
 
     primary: str
     term: int
     changing: bool
     change: int
+    holders: dict[str, Holder] = {}
+    began_at: Position | None = None
+    newest_commit: Position | None = None
 
 
 class FleetState(NamedTuple):
@@ -116,6 +124,13 @@
                 del self._fenced[group]
         self._wake()
 
+    def update_holders(self, group: str, holders: dict[str, Holder]) -> None:
+        """Set a group's holder records, which the leader's next write will store."""
+        if self._state is not None and group in self._state.groups:
+            updated = self._state.groups[group]._replace(holders=holders)
+            groups = {**self._state.groups, group: updated}
+            self._state = self._state._replace(groups=groups)
+
     def note_registered(self, at: float) -> None:
         """Allow leases for reads of the state that are sent at ``at`` or later.
 
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -558,6 +558,225 @@
     run(scenario, sync_replicas=1)
 
 
+def forget_commits(vm):
+    """Let a VM answer that it does not know its newest commit, like a lost one."""
+    vm.node._commits.note("orders", None)
+
+
+async def lose(store, vms, server):
+    """Stop a server and remove its entry; return when all VMs have dropped it."""
+    await server.stop()
+    await store.delete("servers", server.id, 0, 0.0)
+    await eventually(
+        lambda: all(vm.node._servers.get(server.id) is None for vm in vms), 10.0
+    )
+
+
+async def eventually_recorded(vms, *servers):
+    """Wait until the leader has recorded exactly these servers as holders."""
+
+    def is_recorded():
+        states = [vm.node._view.state for vm in vms]
+        return all(
+            state.groups["orders"].holders.keys() == {server.id for server in servers}
+            for state in states
+        )
+
+    await eventually(is_recorded, 10.0)
+
+
+async def write(vm):
+    caller = await Caller.connect(vm.port)
+    lines, _ = await caller.execute("WRITE x 1")
+    assert lines[0].startswith("DONE")
+    caller.close()
+
+
+@pytest.mark.parametrize("commits_known", [True, False])
+def test_replica_that_left_with_the_only_commits_is_waited_for(commits_known):
+    # Guards against the loss of acknowledged commits that only the primary and a lost
+    # replica have, because that replica is not counted once it has left the list.
+    async def scenario(vms, store, group):
+        old, behind, lost = group.servers
+        behind.is_deaf = True
+        await write(vms[0])
+        await eventually_recorded(vms, old, behind, lost)
+        await lose(store, vms, lost)
+        if not commits_known:
+            forget_commits(vms[1])
+        await old.stop()
+        await eventually_asked_again(behind, 30)
+        assert group.promotions == []
+        await old.start()
+        await eventually(lambda: all(primary(vm) == old.id for vm in vms), 15.0)
+        assert group.lost_writes == [0]
+
+    run(scenario, sync_replicas=1)
+
+
+def test_new_vms_wait_for_a_replica_that_left_with_the_only_commits():
+    # Guards against a change of primary that forgets whom it waits for when all VMs are
+    # replaced in the middle.
+    async def scenario(vms, store, group):
+        old, behind, lost = group.servers
+        behind.is_deaf = True
+        await write(vms[0])
+        await eventually_recorded(vms, old, behind, lost)
+        await lost.stop()
+        await old.stop()
+        await eventually(lambda: all(primary(vm) is None for vm in vms), 10.0)
+        await lose(store, vms, lost)
+        for vm in vms:
+            await vm.listener.stop(0.0)
+            await vm.node.close()
+        vms[:] = [Vm(vm.node._options.name, store, group) for vm in vms]
+        await asyncio.gather(*(vm.start() for vm in vms))
+        await eventually_asked_again(behind, 30)
+        assert group.promotions == []
+        await old.start()
+        await eventually(lambda: all(primary(vm) == old.id for vm in vms), 15.0)
+        assert group.lost_writes == [0]
+
+    run(scenario, sync_replicas=1)
+
+
+@pytest.mark.parametrize("commits_known", [True, False])
+def test_replica_that_came_back_empty_does_not_replace_its_log(commits_known):
+    # Guards against counting the report of a server that has lost its log as that of
+    # the process which acknowledged commits, also before its new entry is known.
+    async def scenario(vms, store, group):
+        old, behind, lost = group.servers
+        behind.is_deaf = True
+        await write(vms[0])
+        await eventually_recorded(vms, old, behind, lost)
+        state = vms[0].node._view
+        await eventually(
+            lambda: state.state.groups["orders"].holders[lost.id].received.number == 1
+        )
+        if not commits_known:
+            forget_commits(vms[1])
+        await old.stop()
+        await lost.stop()
+        await lost.start_empty()
+        await eventually_asked_again(behind, 30)
+        assert group.promotions == []
+        group.register(store)
+        await eventually_asked_again(behind, 30)
+        assert group.promotions == []
+        await old.start()
+        await eventually(lambda: all(primary(vm) == old.id for vm in vms), 15.0)
+        assert group.lost_writes == [0]
+
+    run(scenario, sync_replicas=1)
+
+
+@pytest.mark.parametrize("commits_known", [True, False])
+def test_primary_that_came_back_empty_has_no_complete_log(commits_known):
+    # Guards against the promotion of a replica that is as far as a primary which has
+    # lost its log, while the replica that acknowledged the commits is away.
+    async def scenario(vms, store, group):
+        old, behind, newest = group.servers
+        behind.is_deaf = True
+        await write(vms[0])
+        await eventually_recorded(vms, old, behind, newest)
+        state = vms[0].node._view
+        await eventually(
+            lambda: state.state.groups["orders"].holders[old.id].received.number == 1
+        )
+        if not commits_known:
+            forget_commits(vms[1])
+        await newest.stop()
+        await old.stop()
+        await old.start_empty()
+        await eventually_asked_again(behind, 30)
+        group.register(store)
+        await eventually_asked_again(behind, 30)
+        assert group.promotions == []
+        await newest.start()
+        await eventually(lambda: all(primary(vm) == newest.id for vm in vms), 15.0)
+        assert group.lost_writes == [0]
+
+    run(scenario, sync_replicas=1)
+
+
+def test_replica_that_left_is_not_waited_for_once_the_others_have_its_commits():
+    # Guards against a change that waits for a server although all listed replicas have
+    # what it had.
+    async def scenario(vms, store, group):
+        old, remaining, lost = group.servers
+        await write(vms[0])
+        await eventually_recorded(vms, old, remaining, lost)
+        await lose(store, vms, lost)
+        await eventually_recorded(vms, old, remaining)
+        forget_commits(vms[1])
+        await old.stop()
+        await eventually(lambda: all(primary(vm) == remaining.id for vm in vms), 10.0)
+        assert group.lost_writes == [0]
+
+    run(scenario, sync_replicas=1)
+
+
+def test_commits_that_the_remaining_replica_has_are_enough():
+    # Guards against waiting for the primary and a replica that were lost together,
+    # although the VMs know that the other replica has all acknowledged commits.
+    async def scenario(vms, store, group):
+        old, remaining, lost = group.servers
+        await write(vms[1])
+        await eventually_recorded(vms, old, remaining, lost)
+        await lost.stop()
+        await old.stop()
+        await eventually(lambda: all(primary(vm) == remaining.id for vm in vms), 12.0)
+        assert group.lost_writes == [0]
+
+    run(scenario, sync_replicas=1)
+
+
+def test_commits_of_an_earlier_term_are_not_lost_with_the_new_primary():
+    # Guards against the loss of commits that only the promoted server has received,
+    # when it fails before the others have its log.
+    async def scenario(vms, store, group):
+        old, promoted, behind = group.servers
+        behind.is_deaf = True
+        await write(vms[0])
+        await old.stop()
+        await eventually(lambda: all(primary(vm) == promoted.id for vm in vms), 10.0)
+        await lose(store, vms, old)
+        forget_commits(vms[1])
+        await promoted.stop()
+        await eventually_asked_again(behind, 30)
+        assert [server for _, server, _, _ in group.promotions] == [promoted.id]
+        await promoted.start()
+        await eventually(lambda: all(primary(vm) == promoted.id for vm in vms), 15.0)
+        assert group.lost_writes == [0, 0]
+
+    run(scenario, sync_replicas=1)
+
+
+def test_operator_sees_and_ends_the_wait_for_lost_servers(caplog):
+    # Guards against a change that waits without end for servers that are gone for good.
+    async def scenario(vms, store, group):
+        old, behind, lost = group.servers
+        behind.is_deaf = True
+        await write(vms[0])
+        await eventually_recorded(vms, old, behind, lost)
+        await lose(store, vms, lost)
+        await lose(store, vms, old)
+        leader = next(vm for vm in vms if vm.node._leadership.is_leader)
+        gauges = leader.node._metrics
+        await eventually(
+            lambda: gauges.gauges.get("failover.awaited_servers") == 2, 10.0
+        )
+        waiting = "group: orders: waiting for orders-2 or orders-0"
+        assert any(waiting in record.message for record in caplog.records)
+        changed = configuration(2, sync_replicas=0)
+        store.put_directly("config", "main", changed)
+        await eventually(lambda: all(primary(vm) == behind.id for vm in vms), 10.0)
+        assert gauges.gauges["failover.awaited_servers"] == 0
+
+    with caplog.at_level("INFO"):
+        run(scenario, sync_replicas=1)
+
+
 @pytest.mark.parametrize("entry", [{"process": 1}, {"url": 5, "process": 1}])
 def test_malformed_entry_of_a_vm_delays_a_change_of_primary_by_its_lease(entry):
     # Guards against changes of primary that never end because one entry in the list of
@@ -615,12 +834,12 @@
         store.put_directly(
             "citronwood-vms", "cut-off", {"url": "tcp://127.0.0.1:1", "process": 1}
         )
-        has_ended = leader.node._failover._has_ended
+        has_ended = leader.node._failover._fencing._has_ended
 
         async def has_ended_unless_cut_off(url):
             return False if url.endswith(":1") else await has_ended(url)
 
-        leader.node._failover._has_ended = has_ended_unless_cut_off
+        leader.node._failover._fencing._has_ended = has_ended_unless_cut_off
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         entry = {**group.servers[0].entry(), "state": "draining"}
--- a/tests/test_relay_leadership.py
+++ b/tests/test_relay_leadership.py
@@ -7,6 +7,7 @@
 from citronwood.errors import PlatformUnavailableError, VersionConflictError
 from citronwood.relay import leadership as leadership_module
 from citronwood.relay import view as view_module
+from citronwood.relay.holders import Holder
 from citronwood.relay.leadership import (
     LEADER_LEASE_S,
     TAKEOVER_TIMEOUT_S,
@@ -15,6 +16,7 @@
     decode_state,
     encode_state,
 )
+from citronwood.relay.model import Position
 from citronwood.relay.view import GroupState, PrimaryView
 from tests.relay_standins import MemoryStore
 
@@ -180,11 +182,34 @@
         store = MemoryStore()
         vm = Vm(store, "a")
         await vm.step()
-        group = GroupState("x", 1, True, 3)
-        await vm.leadership.change_groups(lambda old: {"g": group})
+        holders = {"x": Holder(7, Position(1, 2)), "y": Holder(8, Position(0, 0))}
+        group = GroupState("x", 1, True, 3, holders, Position(1, 0), Position(1, 2))
+        plain = GroupState("z", 1, False, 1)
+        await vm.leadership.change_groups(lambda old: {"g": group, "h": plain})
         assert decode_state(encode_state(vm.view.state)) == vm.view.state
         other = Vm(store, "b")
         await other.step()
         assert other.view.state == vm.view.state
 
     asyncio.run(scenario())
+
+
+def test_renewals_store_the_positions_of_holders(clock):
+    # Guards against a new leader that cannot tell that a server has lost its log.
+    async def scenario():
+        store = MemoryStore()
+        vm = Vm(store, "a")
+        await vm.step()
+        holders = {"x": Holder(7, Position(1, 2))}
+        group = GroupState("x", 1, False, 1, holders, Position(1, 0))
+        await vm.leadership.change_groups(lambda old: {"g": group})
+        edition = vm.view.state.edition
+        newer = {"x": Holder(7, Position(1, 9))}
+        vm.view.update_holders("g", newer)
+        await vm.step()
+        other = Vm(store, "b")
+        await other.step()
+        assert other.view.state.groups["g"].holders == newer
+        assert other.view.state.edition == edition
+
+    asyncio.run(scenario())
--- a/tests/test_relay_registry.py
+++ b/tests/test_relay_registry.py
@@ -166,18 +166,18 @@
         world.add_entry("silent")
         await world.wait_for_reads()
         world.time += ABSENT_AFTER_S + 0.1
-        world.registry.note_report("heard")
+        world.registry.note_report("heard", 1)
         await world.wait_for_reads()
         assert world.view.state.absent == {"silent": 1}
         assert "silent" in world.store.objects[VM_KIND]
         world.time += ABSENT_REMOVAL_DELAY_S + 0.1
-        world.registry.note_report("heard")
+        world.registry.note_report("heard", 1)
         await world.wait_for_reads()
         assert set(world.store.objects[VM_KIND]) == {"me", "heard"}
         # A VM that returns later than its removal has to learn of it.
         assert world.view.state.absent == {"silent": 1}
         world.time += ABSENT_MARK_RETENTION_S
-        world.registry.note_report("heard")
+        world.registry.note_report("heard", 1)
         await world.wait_for_reads()
         assert world.view.state.absent == {}
 
@@ -192,9 +192,9 @@
         await world.wait_for_reads()
         assert world.view.state.absent == {"back": 1}
         world.add_entry("back", process=2)
-        world.registry.note_report("back")
+        world.registry.note_report("back", 1)
         world.time += ABSENT_REMOVAL_DELAY_S + 0.1
-        world.registry.note_report("back")
+        world.registry.note_report("back", 1)
         await world.wait_for_reads()
         assert "back" in world.store.objects[VM_KIND]
         assert world.view.state.absent == {}
--- a/tests/test_relay_successor.py
+++ b/tests/test_relay_successor.py
@@ -5,7 +5,9 @@
 from citronwood.relay.model import BackendServer, Position, Role
 from citronwood.relay.successor import (
     Candidate,
+    Evidence,
     choose_successor,
+    has_all_commits,
     holds_acknowledged_commits,
 )
 
@@ -46,3 +48,30 @@
         Position(1, 5), positions, replicas, sync_replicas
     )
     assert known is expected
+
+
+NOTHING_KNOWN = Evidence(1, [], None, None, [Position(1, 5)], 1)
+
+
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [
+        ({}, False),
+        ({"sync_replicas": 0}, True),
+        # Another server has all commits, and this one has all that it has, or not.
+        ({"complete_logs": [Position(1, 5)]}, True),
+        ({"complete_logs": [Position(1, 6)]}, False),
+        ({"complete_logs": [Position(1, 6), Position(1, 4)]}, True),
+        ({"newest_commit": Position(1, 5)}, True),
+        ({"newest_commit": Position(1, 6)}, False),
+        # All replicas reported; an earlier commit may be at the primary alone.
+        ({"awaited": 0}, True),
+        ({"awaited": 0, "reported": [Position(1, 6)]}, False),
+        ({"awaited": 0, "began_at": Position(1, 5)}, True),
+        ({"awaited": 0, "began_at": Position(1, 6)}, False),
+        ({"sync_replicas": 2}, True),
+    ],
+)
+def test_server_is_safe_to_promote_only_with_proof(change, expected):
+    evidence = NOTHING_KNOWN._replace(**change)
+    assert has_all_commits(Position(1, 5), evidence) is expected
