End the writes that run at a primary without an entry

What callers could see: a write was acknowledged by an old primary after another server led, and was gone then. Found while writing down whom a change of primary waits for.

Cause: a VM that drops a server from its list leaves the connections in use to end by themselves. When the group is blocked, it closes the connections of the listed primary only, and confirms that it does not use the primary any more.

Change: connections in use at a dropped server are kept until given back, and closed when the group is blocked.

Stand-ins of tests: statements may wait before they run, and a primary that receives nothing goes on as primary after another one was promoted.

--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -369,10 +369,12 @@
         """
         primary = self._view.named_primary(order.group)
         self._view.fence(order.group, order.change)
-        pool = None if primary is None else self._servers.get(primary)
-        if pool is not None:
-            await pool.wait_until_released(deadline_in(FENCE_DRAIN_TIMEOUT_S))
-            if self._view.primary_of(order.group) is None:
+        pools = [] if primary is None else self._servers.all_pools(primary)
+        deadline = deadline_in(FENCE_DRAIN_TIMEOUT_S)
+        for pool in pools:
+            await pool.wait_until_released(deadline)
+        if self._view.primary_of(order.group) is None:
+            for pool in pools:
                 pool.abort_all()
 
     async def _on_ask_commits(self, message: AskCommits, _: Caller) -> CommitsAnswer:
--- a/citronwood/relay/servers.py
+++ b/citronwood/relay/servers.py
@@ -43,6 +43,8 @@
         self._failure_domain = failure_domain
         self._on_commit = on_commit
         self._pools: dict[str, ServerPool] = {}
+        # Pools of servers that left the list or were replaced, until unused.
+        self._retired: list[ServerPool] = []
         self._groups: dict[str, list[str]] = {}
         self._suspect_until: dict[str, float] = {}
         self._connection_caps: dict[str, int] = {}
@@ -53,6 +55,12 @@
         """Return the pool of a server."""
         return self._pools.get(server)
 
+    def all_pools(self, server: str) -> list[ServerPool]:
+        """Return the pools with connections to a server, also to one not listed now."""
+        retired = [pool for pool in self._retired if pool.server.id == server]
+        known = self._pools.get(server)
+        return retired if known is None else [known, *retired]
+
     def of_group(self, group: str) -> list[BackendServer]:
         """Return the known servers of a group."""
         return [self._pools[member].server for member in self._groups.get(group, ())]
@@ -74,6 +82,8 @@
             if new is None or _is_replaced(pool.server, new):
                 pool.close()
                 del self._pools[server_id]
+                if pool.load:
+                    self._retired.append(pool)
         groups: dict[str, list[str]] = {}
         for server in listed.values():
             existing = self._pools.get(server.id)
@@ -131,6 +141,7 @@
         for pool in self._pools.values():
             pool.close_idle()
             pool.grow()
+        self._retired = [pool for pool in self._retired if pool.load]
 
     def close(self) -> None:
         """Close all connections."""
--- a/tests/relay_standins.py
+++ b/tests/relay_standins.py
@@ -253,7 +253,9 @@
             chosen.term = self.term
             for server in self.servers:
                 server.missing_writes -= lost
-                server.is_primary = server is chosen
+                server.is_primary = server is chosen or (
+                    server.is_primary and server.is_deaf
+                )
             for server in self.servers:
                 server.receive_rest()
         return True
@@ -284,6 +286,8 @@
         # The next ``settings_to_fail`` changes of a connection's variables or prepared
         # statements are made, but answered with FAILED.
         self.settings_to_fail = 0
+        # If set, an event that statements of callers wait for before they run.
+        self.may_answer = None
         self.statements = []
         # By request id: the variables of the connection when the statement ran.
         self.variables = {}
@@ -361,6 +365,8 @@
             _, request_id, text = line.split(" ", 2)
             self.statements.append((request_id, text))
             self.variables[request_id] = dict(session.variables)
+            if self.may_answer is not None and request_id != "-":
+                await self.may_answer.wait()
             result = self._run(session, text)
             if self.answers_to_lose and request_id != "-":
                 self.answers_to_lose -= 1
@@ -513,6 +519,7 @@
     keys=("key-1",),
     max_conns=60,
     sync_replicas=0,
+    statement_timeout_ms=2000,
     **tenant,
 ):
     """Return a configuration as the operator writes it."""
@@ -523,7 +530,7 @@
                 "name": "r1",
                 "host": "shop",
                 "kind": kind,
-                "timeout_ms": 2000,
+                "timeout_ms": statement_timeout_ms,
                 "service": "orders",
                 "max_staleness_ms": 1500,
                 "allow_anonymous": False,
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -499,6 +499,27 @@
     run(scenario, sync_replicas=1)
 
 
+def test_write_that_runs_at_a_primary_without_an_entry_ends_before_its_replacement():
+    # Guards against a write that is acknowledged by an old primary after another one
+    # leads, because the VM has dropped the old one from its list and so does not close
+    # the connections to it.
+    async def scenario(vms, store, group):
+        old = group.servers[0]
+        caller = await Caller.connect(vms[0].port)
+        await caller.execute("WRITE x 1")
+        old.may_answer = asyncio.Event()
+        old.is_deaf = True
+        running = asyncio.create_task(caller.execute("WRITE x 2"))
+        await eventually(lambda: any(text == "WRITE x 2" for _, text in old.statements))
+        await store.delete("servers", old.id, 0, 0.0)
+        await eventually(lambda: group.promotions, 12.0)
+        old.may_answer.set()
+        lines, _ = await running
+        assert lines[0].startswith("ERROR UNKNOWN")
+
+    run(scenario, statement_timeout_ms=20000)
+
+
 def test_primary_that_fails_is_replaced():
     async def scenario(vms, store, group):
         caller = await Caller.connect(vms[1].port)
