--- a/tests/test_relay_holders.py
+++ b/tests/test_relay_holders.py
@@ -115,7 +115,8 @@
         return self._answers[url]
 
 
-def collect(answers, processes, own=Position(1, 2), confirmed=True):
+def collect(answers, processes, confirmed=True):
+    own = Position(1, 2)
     fencing = Fencing("vm0", FakeRpc(answers), None, None, None, lambda _: own)
     fenced = [FencedVm(RegisteredVm(name, name, 1), confirmed) for name in answers]
     return asyncio.run(fencing.collect_newest_commit("g", fenced, processes))
