Leave out entries of servers that cannot be connected to

Cause: any text before the last colon was taken for a host. Connecting to it raised UnicodeError, which no caller expects, and ended the step that asks all servers of a group. An id or a group with line ends would have sent further lines to that address.

Change: an entry is used only if its address is an IPv4 address with a port, its id and group are printable words and its numbers fit into 53 bits. Errors of an unusable address count as a server that is away.

--- a/citronwood/platform/records.py
+++ b/citronwood/platform/records.py
@@ -6,7 +6,9 @@
 """
 
 import logging
-from typing import Any, Literal
+import re
+from ipaddress import IPv4Address
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -32,6 +34,11 @@
 DEFAULT_TRANSACTION_IDLE_MS = 3000
 DEFAULT_MAX_CONNECTIONS = 75
 
+# Largest integer that JSON implementations keep exactly.
+MAX_NUMBER = 2**53 - 1
+# Names of groups and servers are fields of the line with which a connection starts.
+_NAME_PATTERN = r"^[!-~]+\Z"
+
 _CONSISTENCY = {
     "primary": Consistency.PRIMARY,
     "bounded": Consistency.BOUNDED_AGE,
@@ -79,14 +86,14 @@
 
 
 class _Server(msgspec.Struct):
-    service: str
+    service: Annotated[str, msgspec.Meta(pattern=_NAME_PATTERN)]
     address: str
     zone: str
     state: Literal["ready", "draining"]
     db_role: Literal["primary", "replica"]
-    slots: int = 1
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)] = 1
     # Start time in Unix milliseconds; distinguishes servers that reuse an id.
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
 
 
 def decode_rules(listing: Listing) -> Rules | None:
@@ -132,13 +139,15 @@
 
 def _decode_server(server_id: str, value: dict[str, Any]) -> BackendServer | None:
     try:
+        if re.match(_NAME_PATTERN, server_id) is None:
+            raise ValueError("the id is not a printable word")
         record = msgspec.convert(value, _Server)
-        host, _, port = record.address.rpartition(":")
+        host, port = _parse_address(record.address)
         return BackendServer(
             id=server_id,
             group=record.service,
             host=host,
-            port=int(port),
+            port=port,
             failure_domain=record.zone,
             role=Role.PRIMARY if record.db_role == "primary" else Role.REPLICA,
             draining=record.state == "draining",
@@ -152,6 +161,20 @@
         return None
 
 
+def _parse_address(address: str) -> tuple[str, int]:
+    """Return host and port; raises ``ValueError`` unless both can be connected to.
+
+    The platform has no name lookups, so a host is an IPv4 address.
+    """
+    host, _, port = address.rpartition(":")
+    parsed = IPv4Address(host)
+    if parsed.is_unspecified or parsed.is_multicast:
+        raise ValueError(f"{host} is not the address of a server")
+    if not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        raise ValueError(f"{port!r} is not a port")
+    return host, int(port)
+
+
 def _convert_route(record: _Route) -> Route:
     max_age_ms = record.max_staleness_ms
     return Route(
--- a/citronwood/platform/wire.py
+++ b/citronwood/platform/wire.py
@@ -408,7 +408,14 @@
             except BaseException:
                 connection.abort()
                 raise
-    except (OSError, TimeoutError, MessageError) as error:
+    except (
+        OSError,
+        TimeoutError,
+        MessageError,
+        # An address or a name that cannot be used; ValueError includes UnicodeError.
+        ValueError,
+        OverflowError,
+    ) as error:
         raise BackendUnavailableError(f"{server}: {type(error).__name__}") from None
     return connection
 
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -798,6 +798,26 @@
         run(scenario, sync_replicas=1)
 
 
+@pytest.mark.parametrize(
+    "address", ["a" * 64 + ":8080", "a..b:8080", "127.0.0.1:65536", "127.0.0.1:-1"]
+)
+def test_entry_without_a_usable_address_does_not_prevent_a_change_of_primary(address):
+    # Guards against a group without a primary while any entry has an address to which
+    # connecting fails in another way than for a server that is away.
+    async def scenario(vms, store, group):
+        old = group.servers[0]
+        foreign = {**old.entry(), "address": address, "db_role": "replica"}
+        store.put_directly("servers", "another-writer", foreign)
+        caller = await Caller.connect(vms[0].port)
+        await caller.execute("WRITE x 1")
+        await old.stop()
+        await eventually(
+            lambda: all(primary(vm) not in (None, old.id) for vm in vms), 10.0
+        )
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("entry", [{"process": 1}, {"url": 5, "process": 1}])
 def test_malformed_entry_of_a_vm_delays_a_change_of_primary_by_its_lease(entry):
     # Guards against changes of primary that never end because one entry in the list of
--- a/tests/test_relay_records.py
+++ b/tests/test_relay_records.py
@@ -95,6 +95,28 @@
         {"address": 5},
         {"service": None},
         {"zone": []},
+        # Addresses to which no connection can be opened, or no safe one.
+        {"address": "a" * 64 + ":8080"},
+        {"address": "a..b:8080"},
+        {"address": "server.example:8080"},
+        {"address": ":8080"},
+        {"address": "10.0.0.9:"},
+        {"address": "10.0.0.9:0"},
+        {"address": "10.0.0.9:65536"},
+        {"address": "10.0.0.9:-1"},
+        {"address": "10.0.0.9:\u0661"},
+        {"address": "10.0.0.256:8080"},
+        {"address": "0.0.0.0:8080"},
+        {"address": "10.0.0.9\x00:8080"},
+        # Names that would change the line with which a connection starts.
+        {"service": "orders acme s1\r\nQUERY 1 WRITE x 1\r\n"},
+        {"service": "\u20ac"},
+        {"service": ""},
+        # Numbers beyond those that the fleet's state can hold.
+        {"born": 2**64},
+        {"born": -1},
+        {"slots": 0},
+        {"slots": 2**64},
     ],
 )
 def test_malformed_server_entry_is_skipped(change):
@@ -102,6 +124,12 @@
     assert [decoded.id for decoded in servers] == ["s2"]
 
 
+@pytest.mark.parametrize("name", ["s 1", "s\r\nQUERY 1 WRITE x 1", "\u20ac", "s\x7f"])
+def test_entry_with_an_unusable_id_is_skipped(name):
+    servers = decode_servers(listing(**{name: entry(), "s2": entry()}))
+    assert [decoded.id for decoded in servers] == ["s2"]
+
+
 def test_settings_file(tmp_path):
     path = tmp_path / "node.conf"
     path.write_text(SETTINGS)
--- a/tests/test_relay_wire.py
+++ b/tests/test_relay_wire.py
@@ -6,7 +6,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from citronwood.errors import ConnectionLostError, MessageError
+from citronwood.errors import (
+    BackendUnavailableError,
+    ConnectionLostError,
+    MessageError,
+)
 from citronwood.platform.wire import connect as connect_server
 from citronwood.platform.wire import (
     encode_answer,
@@ -137,3 +141,17 @@
             assert not closed.value.sent
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("host", "port"),
+    [("a" * 64, 1), ("a..b", 1), ("127.0.0.1", 65536), ("127.0.0.1", -1)],
+)
+def test_unusable_address_is_an_unavailable_server(host, port):
+    # Guards against an error that ends the whole step in which a server is asked.
+    async def scenario():
+        deadline = asyncio.get_running_loop().time() + 1.0
+        with pytest.raises(BackendUnavailableError):
+            await connect_server(host, port, "orders", "-", "s1", deadline)
+
+    asyncio.run(scenario())
