Read the store's other objects beside an unreadable one

Cause: a page of the store was decoded as a whole, so that one object hid all others.

Change: a page that cannot be decoded is split into its objects, and each is decoded by itself. One without a readable content counts as empty, so that an entry in the list of VMs is still waited for. Copies for other VMs are made beside a value that cannot be encoded.

--- a/citronwood/platform/objects.py
+++ b/citronwood/platform/objects.py
@@ -1,7 +1,7 @@
 """HTTP client of the platform's object store, used by the relay."""
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from time import monotonic
 from types import TracebackType
 from typing import Any, NamedTuple, Self, TypeVar
@@ -12,6 +12,7 @@
 from citronwood.deadline import deadline_in, time_left
 from citronwood.decisions import log_state
 from citronwood.errors import (
+    MessageError,
     ObjectNotFoundError,
     PlatformError,
     PlatformUnavailableError,
@@ -19,6 +20,7 @@
 )
 from citronwood.metrics import Metrics
 from citronwood.platform.api import ANY_VERSION, Listing, VersionedObject
+from citronwood.platform.pages import StoredObject, decode_object, decode_page
 
 log = logging.getLogger(__name__)
 
@@ -31,23 +33,6 @@
 _T = TypeVar("_T")
 
 
-class _Meta(msgspec.Struct):
-    name: str
-    revision: int
-    deleting: bool = False
-
-
-class _Object(msgspec.Struct):
-    meta: _Meta
-    spec: Any = None
-
-
-class _Page(msgspec.Struct):
-    items: list[_Object]
-    store_revision: int
-    more: bool = False
-
-
 class _Response(NamedTuple):
     status: int
     body: bytes
@@ -92,8 +77,7 @@
         response = await self._call("GET", f"{kind}/{name}", deadline)
         if response.status == 404:
             raise ObjectNotFoundError(f"{kind}/{name} does not exist")
-        found = self._decode(response, _Object)
-        return VersionedObject(_as_dict(found.spec), found.meta.revision)
+        return _to_versioned(self._decode(response, decode_object))
 
     async def put(
         self,
@@ -125,7 +109,7 @@
             return await self._resolve_outcome(
                 kind, name, value, expected_version, deadline, conflict=True
             )
-        return self._decode(response, _Object).meta.revision
+        return self._decode(response, decode_object).meta.revision
 
     async def delete(
         self, kind: str, name: str, expected_version: int, deadline: float
@@ -134,7 +118,7 @@
         query = {"revision": str(expected_version)} if expected_version else {}
         response = await self._call("DELETE", f"{kind}/{name}", deadline, query=query)
         if response.status == 409:
-            actual = self._decode(response, _Object).meta.revision
+            actual = self._decode(response, decode_object).meta.revision
             raise VersionConflictError(kind, name, expected_version, actual)
         if response.status not in (200, 204, 404):
             raise PlatformUnavailableError(f"delete: status {response.status}")
@@ -150,13 +134,17 @@
         version = None
         for _ in range(MAX_PAGES):
             response = await self._call("GET", kind, deadline, query=query)
-            page = self._decode(response, _Page)
+            page = self._decode(response, decode_page)
             version = page.store_revision if version is None else version
             for item in page.items:
                 if not item.meta.deleting:
                     objects[item.meta.name] = _to_versioned(item)
-            if not page.more or not page.items:
+            if not page.more:
                 return Listing(objects, version)
+            if not page.items:
+                raise PlatformError(
+                    f"{kind}: a page has no readable name to go on from"
+                )
             query["after"] = page.items[-1].meta.name
         raise PlatformError(f"{kind} has more than {MAX_PAGES} pages")
 
@@ -243,17 +231,17 @@
             self._session = ClientSession(cookie_jar=DummyCookieJar())
         return self._session
 
-    def _decode(self, response: _Response, record_type: type[_T]) -> _T:
+    def _decode(self, response: _Response, decode: Callable[[bytes], _T]) -> _T:
         if response.status not in (200, 201, 409):
             raise PlatformUnavailableError(f"status {response.status}")
         try:
-            return msgspec.json.decode(response.body, type=record_type)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return decode(response.body)
+        except MessageError as error:
             self._metrics.count("platform.malformed")
             raise PlatformUnavailableError(f"malformed answer: {error}") from None
 
 
-def _to_versioned(item: _Object) -> VersionedObject:
+def _to_versioned(item: StoredObject) -> VersionedObject:
     return VersionedObject(_as_dict(item.spec), item.meta.revision)
 
 
--- a/citronwood/relay/feeds.py
+++ b/citronwood/relay/feeds.py
@@ -88,7 +88,11 @@
                 name: (stored.version, stored.value)
                 for name, stored in self._objects.items()
             }
-            self._encoded = zlib.compress(msgspec.json.encode(values))
+            try:
+                encoded = msgspec.json.encode(values)
+            except RecursionError:
+                encoded = msgspec.json.encode(_without_unencodable(values))
+            self._encoded = zlib.compress(encoded)
         return self._encoded
 
     def receive(self, version: int, data: bytes) -> None:
@@ -99,7 +103,7 @@
             values = msgspec.json.decode(
                 _decompress(data), type=dict[str, tuple[int, dict[str, Any]]]
             )
-        except (msgspec.DecodeError, zlib.error) as error:
+        except (msgspec.DecodeError, RecursionError, zlib.error) as error:
             raise MessageError("malformed", str(error)) from None
         objects = {
             name: VersionedObject(stored[1], stored[0])
@@ -131,6 +135,20 @@
         self._on_content(content)
 
 
+def _without_unencodable(values: _Values) -> _Values:
+    """Return the objects, without the content of those that are nested too deeply."""
+    encodable: _Values = {}
+    for name, (version, value) in values.items():
+        try:
+            # As deeply nested as in the encoding of all objects.
+            msgspec.json.encode({name: (version, value)})
+        except RecursionError as error:
+            log_state(log, "object", "unreadable", f"platform: {name}: {error}")
+            value = {}
+        encodable[name] = (version, value)
+    return encodable
+
+
 def _decompress(data: bytes) -> bytes:
     decompressor = zlib.decompressobj()
     content = decompressor.decompress(data, MAX_CONTENT_BYTES)
--- a/tests/relay_standins.py
+++ b/tests/relay_standins.py
@@ -114,6 +114,8 @@
         self.answers_to_lose = 0
         self.calls_to_delay = 0
         self.refusal_statuses = []
+        # JSON texts of further objects, listed after the others.
+        self.foreign_items = []
         self.address = ""
         self.page_size = 500
         self._runner = None
@@ -150,8 +152,12 @@
             _encode_object(name, objects[name]) for name in names[: self.page_size]
         ]
         more = len(names) > self.page_size
-        answer = {"items": items, "more": more, "store_revision": self.store.version}
-        return web.json_response(answer)
+        texts = [json.dumps(item).encode() for item in items]
+        if not more:
+            texts += self.foreign_items
+        end = json.dumps({"more": more, "store_revision": self.store.version})
+        body = b'{"items": [%s], %s' % (b", ".join(texts), end[1:].encode())
+        return web.Response(body=body, content_type="application/json")
 
     async def _handle_object(self, request):
         refusal = self._refusal()
--- a/tests/test_relay_feeds.py
+++ b/tests/test_relay_feeds.py
@@ -152,3 +152,25 @@
         assert answer.version == 0
 
     asyncio.run(scenario())
+
+
+def test_copy_is_made_beside_a_value_that_cannot_be_encoded():
+    # Guards against VMs that get no list of servers from the leader because one entry
+    # is nested too deeply.
+    nested = []
+    for _ in range(5000):
+        nested = [nested]
+
+    async def scenario():
+        store = MemoryStore()
+        store.put_directly(KIND, "good", {"version": 1})
+        store.put_directly(KIND, "deep", {"zone": nested})
+        leader, _ = make_feed()
+        leader._decode = lambda listing: sorted(listing.objects)
+        await leader.poll(store, 0.0)
+        other, _ = make_feed()
+        other.receive(leader.version, leader.encode())
+        values = {name: each.value for name, each in other._content.items()}
+        assert values == {"good": {"version": 1}, "deep": {}}
+
+    asyncio.run(scenario())
--- a/tests/test_relay_objects.py
+++ b/tests/test_relay_objects.py
@@ -1,17 +1,22 @@
 """Client of the platform's store, with lost answers, delays and refusals."""
 
 import asyncio
+import json
 from time import monotonic
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from citronwood.errors import (
+    MessageError,
     ObjectNotFoundError,
     PlatformUnavailableError,
     VersionConflictError,
 )
 from citronwood.metrics import Metrics
 from citronwood.platform.objects import HttpObjectStore
+from citronwood.platform.pages import decode_page
 from tests.fleet_helpers import eventually
 from tests.relay_standins import StoreServer
 
@@ -106,3 +111,95 @@
                 await store.list_objects("k", deadline_in(0.5))
 
     asyncio.run(scenario())
+
+
+UNREADABLE = {
+    # Half of a surrogate pair, as a text that was cut has it.
+    "surrogate": rb'"pnw-sea \ud83c"',
+    "bytes": b'"\xff\xfe"',
+    "escape": rb'"\x"',
+    "control character": b'"a\x01b"',
+    "brackets in a text": rb'"]}, \" {[ \ud83c"',
+    "number": b"1e999",
+    "depth": b"[" * 5000 + b"]" * 5000,
+}
+
+
+@pytest.mark.parametrize("content", UNREADABLE.values(), ids=UNREADABLE)
+def test_unreadable_object_does_not_hide_the_others(content):
+    # Guards against a list of servers that stays as it was while one entry of another
+    # writer cannot be decoded.
+    async def scenario(server, store, metrics):
+        server.page_size = 2
+        for number in range(3):
+            server.store.put_directly("k", f"n{number}", {"x": number})
+        server.foreign_items = [
+            b'{"meta": {"name": "n9", "revision": 4}, "spec": {"zone": %s}}' % content
+        ]
+        listing = await store.list_objects("k", deadline_in())
+        values = {name: stored.value for name, stored in listing.objects.items()}
+        assert values == {"n0": {"x": 0}, "n1": {"x": 1}, "n2": {"x": 2}, "n9": {}}
+        assert listing.objects["n9"].version == 4
+        assert listing.version == server.store.version
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    "item",
+    [
+        b"5",
+        b"null",
+        b"[]",
+        b"{}",
+        b'{"meta": {"name": 7, "revision": 4}, "spec": {}}',
+        b'{"meta": {"name": "n9", "revision": "new"}, "spec": {}}',
+        rb'{"meta": {"name": "n9 \ud83c", "revision": 4}, "spec": {}}',
+        rb'{"meta": {"revision": 4}, "spec": "\ud83c"}',
+    ],
+)
+def test_object_without_a_readable_name_or_version_is_left_out(item):
+    async def scenario(server, store, metrics):
+        server.store.put_directly("k", "n0", {"x": 0})
+        server.foreign_items = [item]
+        listing = await store.list_objects("k", deadline_in())
+        assert {name: each.value for name, each in listing.objects.items()} == {
+            "n0": {"x": 0}
+        }
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"[]", b'{"items": [', b'{"items": [5]}', rb'{"items": "\ud83c", "more": 1}'],
+)
+def test_page_that_is_malformed_as_a_whole_is_refused(body):
+    with pytest.raises(MessageError):
+        decode_page(body)
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**53), 2**53) | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=10,
+)
+
+
+@given(st.lists(json_values), st.booleans(), st.sampled_from([None, 1]))
+def test_objects_beside_an_unreadable_one_are_decoded_as_without_it(
+    specs, ensure_ascii, indent
+):
+    items = [
+        {"meta": {"name": f"n{number}", "revision": number}, "spec": spec}
+        for number, spec in enumerate(specs)
+    ]
+    page = {"store_revision": 7, "items": items, "more": True}
+    readable = json.dumps(page, ensure_ascii=ensure_ascii, indent=indent)
+    foreign = {"meta": {"name": "z", "revision": 9}, "spec": "CUT"}
+    page["items"] = [foreign, *items]
+    unreadable = json.dumps(page, ensure_ascii=ensure_ascii, indent=indent)
+    cut = unreadable.replace('"CUT"', r'"\ud83c"', 1)
+    first, *others = decode_page(cut.encode()).items
+    assert (first.meta.name, first.spec) == ("z", None)
+    assert others == decode_page(readable.encode()).items
