Go on with a change of primary if its newest commit cannot be stored

Cause: with sync_replicas, a change of primary wrote the newest commit to the store before the promotion. If the store refused that write, the change began anew each time, although only a new leader would need it from there. Without sync_replicas, a change without any server to promote was logged as a wait for commits.

Change: the failure is logged and the change goes on. Only groups with sync_replicas wait.

Result: the new test fails on the commit before and passes now; the tests of the file pass.

--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -302,7 +302,13 @@
         if newest is None:
             return current
         noted = current._replace(newest_commit=max(newest, seen.position))
-        await self._write_group(group, noted)
+        try:
+            await self._write_group(group, noted)
+        except NotLeaderError:
+            raise
+        except PlatformError as error:
+            # Only a new leader would need it from the store.
+            log_state(log, "commits", "not_stored", f"group: {group}: {error}")
         return noted
 
     async def _write_group(self, group: str, new: GroupState) -> None:
--- a/citronwood/relay/succession.py
+++ b/citronwood/relay/succession.py
@@ -233,9 +233,10 @@
             )
             evidence = self._evidence(group, change, old_position, probed)
             is_safe = chosen is not None and has_all_commits(chosen.received, evidence)
-            self._note_awaited(
-                group, [] if is_safe else self._awaited_servers(group, change, probed)
-            )
+            awaited = []
+            if not is_safe and evidence.sync_replicas:
+                awaited = self._awaited_servers(group, change, probed)
+            self._note_awaited(group, awaited)
             if chosen is not None:
                 is_behind = old_position is not None and chosen.received < old_position
                 if is_safe and (not is_behind or now() >= catch_up_until):
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from citronwood.errors import DeadlineExceededError
+from citronwood.errors import DeadlineExceededError, PlatformUnavailableError
 from citronwood.logs import JsonFormatter
 from citronwood.metrics import Metrics
 from citronwood.operator.diagnosis import diagnose_request, parse_decision_lines
@@ -752,6 +752,30 @@
     run(scenario, sync_replicas=1)
 
 
+def test_change_goes_on_if_the_newest_commit_cannot_be_stored():
+    # Guards against a change of primary that starts again and again because the store
+    # does not take what only a new leader would need.
+    async def scenario(vms, store, group):
+        old, newest, lost = group.servers
+        await write(vms[1])
+        await eventually_recorded(vms, old, newest, lost)
+        for vm in vms:
+            change_groups = vm.node._leadership.change_groups
+
+            async def refuse_commits(change, change_groups=change_groups):
+                groups = change(dict(vms[0].node._view.state.groups))
+                if any(group.newest_commit for group in groups.values()):
+                    raise PlatformUnavailableError("away")
+                return await change_groups(change)
+
+            vm.node._leadership.change_groups = refuse_commits
+        await lost.stop()
+        await old.stop()
+        await eventually(lambda: all(primary(vm) == newest.id for vm in vms), 12.0)
+
+    run(scenario, sync_replicas=1)
+
+
 def test_commits_of_an_earlier_term_are_not_lost_with_the_new_primary():
     # Guards against the loss of commits that only the promoted server has received,
     # when it fails before the others have its log.
