--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -467,6 +467,32 @@
     run(scenario)
 
 
+def test_draining_primary_is_not_replaced_by_a_draining_server():
+    # Guards against changes of primary without end, between servers that are all about
+    # to leave, of which some have to be left before the primary.
+    async def scenario(vms, store, group):
+        old, *others = group.servers
+        caller = await Caller.connect(vms[0].port)
+        for server in others:
+            server.is_draining = True
+        group.register(store)
+        leader = next(vm for vm in vms if vm.node._leadership.is_leader)
+        servers = leader.node._servers
+        await eventually(lambda: all(servers.is_draining(each.id) for each in others))
+        old.is_draining = True
+        group.register(store)
+        await eventually(lambda: servers.is_draining(old.id))
+        await eventually_asked_again(old, 4)
+        assert group.promotions == []
+        assert (await caller.execute("WRITE x 1"))[0][0].startswith("DONE")
+        others[0].is_draining = False
+        group.register(store)
+        await eventually(lambda: all(primary(vm) == others[0].id for vm in vms), 10.0)
+        assert len(group.promotions) == 1
+
+    run(scenario)
+
+
 def test_draining_server_leads_until_its_successor_has_its_log():
     # Guards against the loss of acknowledged commits that only the draining server has,
     # because it is left out of the count when it is to be replaced itself.
