Add a simulation of the relay in virtual time

Change: citronwood simulate plays the unchanged process of each VM in one event loop with virtual time and a network in memory, beside models of the store, promotions, servers and callers. Rules are pure functions over what callers and servers saw. Plans are drawn from seeds, searched in several processes, replayed and shrunk. The loop of tests/virtual_time.py moves there. Notifications of a new state are sent in the order of the list of VMs, not of a set, so that a seed gives one history.

--- a/citronwood/cli/application.py
+++ b/citronwood/cli/application.py
@@ -14,6 +14,7 @@
 )
 from citronwood.cli.platform import StandinPlatformCommand
 from citronwood.cli.settings import CheckSettingsCommand
+from citronwood.cli.simulate import simulate_commands
 from citronwood.cli.standin import StandinMemberCommand
 
 
@@ -30,6 +31,8 @@
     application.add(CheckSettingsCommand())
     application.add(StandinMemberCommand())
     application.add(StandinPlatformCommand())
+    for command in simulate_commands():
+        application.add(command)
     return application
 
 
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -407,10 +407,12 @@
             return
         message = StateChanged(version, encode_state(state))
         # A new leader has not read the list of VMs yet, but knows the feed.
-        urls = {vm.url for vm in self._registry.vms}
-        urls.update(peer.url for peer in self._peers)
-        for url in urls - {self._url}:
-            self._rpc.notify(url, message)
+        urls = dict.fromkeys(
+            [vm.url for vm in self._registry.vms] + [peer.url for peer in self._peers]
+        )
+        for url in urls:
+            if url != self._url:
+                self._rpc.notify(url, message)
 
     # Knowledge shared between VMs.
 
--- /dev/null
+++ b/tests/test_simulation.py
@@ -0,0 +1,408 @@
+"""The simulation: machines, network, checks of the rules, and runs of fixed seeds."""
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from cleo.testers.command_tester import CommandTester
+
+from citronwood.cli.application import create_application
+from citronwood.errors import SettingsError
+from citronwood.simulation.checks import Bounds, find_violations
+from citronwood.simulation.history import (
+    Commit,
+    Drained,
+    Entry,
+    PromoteCall,
+    Promoted,
+    Request,
+    Run,
+    new_history,
+)
+from citronwood.simulation.loop import SimulatedLoop
+from citronwood.simulation.machine import Machine
+from citronwood.simulation.plan import Plan, Trouble, draw_plan, read_plan, write_plan
+from citronwood.simulation.runner import run_plan
+from citronwood.simulation.search import shrink
+
+PLANS = Path(__file__).parent / "plans"
+SEEDS = range(60)
+
+
+# Machines and network.
+
+
+def run_on(machine, coroutine):
+    return asyncio.get_running_loop().create_task(coroutine, context=machine.start())
+
+
+def simulate(scenario):
+    loop = SimulatedLoop()
+    try:
+        return loop.run_until_complete(scenario(loop))
+    finally:
+        loop.abandon()
+
+
+def test_nothing_of_a_process_runs_after_its_end():
+    async def scenario(loop):
+        steps = []
+
+        async def work():
+            try:
+                while True:
+                    steps.append(loop.time())
+                    await asyncio.sleep(1.0)
+            finally:
+                steps.append("cleaned up")
+
+        machine = Machine("m", "10.0.0.1")
+        tasks = [run_on(machine, work())]
+        await asyncio.sleep(2.5)
+        machine.end()
+        await asyncio.sleep(2.0)
+        assert steps == [0.0, 1.0, 2.0]
+        # A new process does not continue the work of the former one.
+        tasks.append(run_on(machine, asyncio.sleep(1.0)))
+        await asyncio.sleep(2.0)
+        assert steps == [0.0, 1.0, 2.0]
+        assert [task.done() for task in tasks] == [False, True]
+
+    simulate(scenario)
+
+
+def test_timers_of_a_paused_machine_are_late():
+    async def scenario(loop):
+        steps = []
+
+        async def work():
+            for _ in range(3):
+                await asyncio.sleep(1.0)
+                steps.append(loop.time())
+
+        machine = Machine("m", "10.0.0.1")
+        task = run_on(machine, work())
+        await asyncio.sleep(1.5)
+        machine.is_paused = True
+        await asyncio.sleep(4.0)
+        machine.resume()
+        await asyncio.sleep(2.0)
+        assert steps == [1.0, 5.5, 6.5]
+        assert task.done()
+
+    simulate(scenario)
+
+
+async def echo(reader, writer):
+    while data := await reader.read(100):
+        writer.write(data)
+    writer.close()
+
+
+async def exchange(machine, address, text=b"hello"):
+    """Return what a connection from a machine gets back, and the time it took."""
+    result = []
+
+    async def call():
+        started = asyncio.get_running_loop().time()
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(text)
+        received = await reader.readexactly(len(text))
+        result.append((received, asyncio.get_running_loop().time() - started))
+        writer.close()
+
+    await run_on(machine, call())
+    return result[0]
+
+
+def test_data_crosses_the_network_in_order_and_with_a_delay():
+    async def scenario(loop):
+        await asyncio.start_server(echo, "10.0.0.2", 80)
+        text = bytes(range(100))
+        received, took_s = await exchange(Machine("m", "10.0.0.1"), ("10.0.0.2", 80))
+        assert received == b"hello"
+        assert 0.004 < took_s < 0.02
+        machine = Machine("n", "10.0.0.3")
+        assert (await exchange(machine, ("10.0.0.2", 80), text))[0] == text
+
+    simulate(scenario)
+
+
+def test_port_without_a_listener_refuses():
+    async def scenario(loop):
+        with pytest.raises(ConnectionRefusedError):
+            await exchange(Machine("m", "10.0.0.1"), ("10.0.0.2", 80))
+
+    simulate(scenario)
+
+
+def test_cut_holds_data_back_in_one_direction():
+    async def scenario(loop):
+        await asyncio.start_server(echo, "10.0.0.2", 80)
+        machine = Machine("m", "10.0.0.1")
+        task = asyncio.create_task(exchange(machine, ("10.0.0.2", 80)))
+        await asyncio.sleep(0.004)
+        loop.network.cuts.add(("10.0.0.2", "10.0.0.1"))
+        await asyncio.sleep(3.0)
+        assert not task.done()
+        loop.network.cuts.clear()
+        assert (await task)[0] == b"hello"
+
+    simulate(scenario)
+
+
+def test_silent_connection_neither_delivers_nor_ends():
+    async def scenario(loop):
+        await asyncio.start_server(echo, "10.0.0.2", 80)
+        reader, writer = await asyncio.open_connection("10.0.0.2", 80)
+        loop.network.silence(lambda connection: True)
+        writer.write(b"x")
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(60.0):
+                await reader.read(1)
+        assert (await exchange(Machine("m", "10.0.0.1"), ("10.0.0.2", 80)))[0]
+
+    simulate(scenario)
+
+
+def test_reset_ends_both_ends():
+    async def scenario(loop):
+        await asyncio.start_server(echo, "10.0.0.2", 80)
+        reader, _ = await asyncio.open_connection("10.0.0.2", 80)
+        loop.network.reset(lambda connection: True)
+        with pytest.raises(ConnectionResetError):
+            await reader.read(1)
+
+    simulate(scenario)
+
+
+# Checks. Each sees a history that just keeps its rule, and one that breaks it.
+
+BOUNDS = Bounds({"g": 1}, 7.0, 12.0, 10.0, 30.0, True)
+
+
+def request(number, text, result, **change):
+    fields = {"sent_at": 1.0, "ended_at": 2.0, "rows": (), "session": 1}
+    writes = (f"r{number}",) if text.startswith("WRITE") else ()
+    fields.update(id=f"r{number}", text=text, result=result, writes=writes)
+    return Request(**{**fields, **change})
+
+
+def commit(number, at=1.5, server="a"):
+    writes = ((f"r{number}", "x", "v"),)
+    return Commit(at, server, "g", Entry(1, number, f"r{number}", writes))
+
+
+def run(number, text, server="a", at=1.5, signature="s1", rows=(), seen=()):
+    return Run(
+        at, server, "g", f"r{number}", text, "t", signature, rows, frozenset(seen)
+    )
+
+
+def history(**records):
+    # A late request keeps RECOVER.
+    late = request(99, "BEGIN", "DONE -", sent_at=25.0, ended_at=25.1)
+    seen = new_history()
+    seen.requests.append(late)
+    for name, values in records.items():
+        getattr(seen, name).extend(values)
+    return seen
+
+
+WRITTEN = {
+    "requests": [request(1, "WRITE x v", "DONE s1")],
+    "runs": [run(1, "WRITE x v")],
+    "commits": [commit(1)],
+}
+READ = request(2, "READ x", "DONE s2", sent_at=3.0, ended_at=4.0, rows=("v",))
+
+
+def read_run(seen):
+    return run(2, "READ x", at=3.5, signature="s2", rows=("v",), seen=seen)
+
+
+def promoted(*commits):
+    return Promoted(5.0, "b", "g", 2, frozenset(commits))
+
+
+CASES = {
+    "LOST": (
+        {**WRITTEN, "promoted": [promoted("r1")]},
+        {**WRITTEN, "promoted": [promoted()]},
+    ),
+    "TWICE": (
+        # The first commit was rolled back.
+        {
+            **WRITTEN,
+            "requests": [request(1, "WRITE x v", "ERROR UNKNOWN")],
+            "commits": [commit(1), commit(1, at=6.0, server="b")],
+            "promoted": [promoted()],
+        },
+        {**WRITTEN, "commits": [commit(1), commit(1, server="b")]},
+    ),
+    "REFUSED": (
+        {**WRITTEN, "requests": [request(1, "WRITE x v", "ERROR UNKNOWN")]},
+        {**WRITTEN, "requests": [request(1, "WRITE x v", "ERROR BUSY")]},
+    ),
+    "MIXED": (
+        WRITTEN,
+        {**WRITTEN, "requests": [request(1, "WRITE x v", "DONE s2")]},
+    ),
+    "UNASKED": (
+        WRITTEN,
+        {**WRITTEN, "runs": [run(1, "WRITE x v"), run(1, "WRITE x w")]},
+    ),
+    "STALE": (
+        {
+            "requests": [*WRITTEN["requests"], READ],
+            "runs": [*WRITTEN["runs"], read_run({"r1"})],
+            "commits": [commit(1)],
+        },
+        {
+            "requests": [*WRITTEN["requests"], READ],
+            "runs": [*WRITTEN["runs"], read_run(())],
+            "commits": [commit(1)],
+        },
+    ),
+    "ONE": (
+        {
+            "promote_calls": [
+                PromoteCall(1.0, "a", "vm1", 3),
+                PromoteCall(2.0, "b", "vm1", 3),
+                PromoteCall(3.0, "b", "vm2", 4),
+            ]
+        },
+        {
+            "promote_calls": [
+                PromoteCall(1.0, "a", "vm1", 3),
+                PromoteCall(2.0, "b", "vm2", 3),
+            ]
+        },
+    ),
+    "DRAIN": (
+        {
+            **WRITTEN,
+            "runs": [run(1, "WRITE x v", at=9.0)],
+            "drained": [Drained(2, "a")],
+        },
+        {
+            **WRITTEN,
+            "runs": [run(1, "WRITE x v", at=9.1)],
+            "drained": [Drained(2, "a")],
+        },
+    ),
+    "RECOVER": (
+        {
+            "requests": [
+                request(number, "READ x", "ERROR BUSY", sent_at=24.0)
+                for number in range(3)
+            ]
+        },
+        {
+            "requests": [
+                request(number, "READ x", "ERROR BUSY", sent_at=24.0)
+                for number in range(4)
+            ]
+        },
+    ),
+}
+
+
+@pytest.mark.parametrize("rule", CASES)
+def test_check_holds_on_a_history_that_just_keeps_its_rule(rule):
+    assert find_violations(history(**CASES[rule][0]), BOUNDS) == []
+
+
+@pytest.mark.parametrize("rule", CASES)
+def test_check_fails_on_a_history_that_breaks_its_rule(rule):
+    violations = find_violations(history(**CASES[rule][1]), BOUNDS)
+    assert {violation.rule for violation in violations} == {rule}
+
+
+# Plans and runs.
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_run_of_a_seed_breaks_no_rule(seed):
+    result = run_plan(draw_plan(seed))
+    assert result.violations == []
+    assert result.served > result.requests / 4
+
+
+@pytest.mark.parametrize(
+    "path", sorted(PLANS.glob("*.json")), ids=lambda path: path.stem
+)
+def test_plan_that_broke_a_rule_breaks_none(path):
+    # docs/simulation.md says which fault each plan has shown.
+    assert run_plan(read_plan(path)).violations == []
+
+
+def test_same_seed_gives_the_same_history_with_other_hashes_of_texts():
+    def digest(hash_seed):
+        command = [sys.executable, "-m", "citronwood", "simulate", "run", "--json"]
+        environment = {**os.environ, "PYTHONHASHSEED": hash_seed}
+        completed = subprocess.run(
+            [*command, "--seed", "42"], env=environment, capture_output=True, timeout=50
+        )
+        return json.loads(completed.stdout)["digest"]
+
+    assert digest("1") == digest("2")
+
+
+def test_plan_survives_a_file(tmp_path):
+    path = tmp_path / "plan.json"
+    plan = draw_plan(7)
+    write_plan(path, plan)
+    assert read_plan(path) == plan
+
+
+@pytest.mark.parametrize(
+    ("text", "finding"),
+    [
+        ("{", "plan.json"),
+        ('{"seed": 1}', "vms"),
+        (
+            '{"seed": 1, "vms": 99, "sync_replicas": 5, "callers": 1, "troubles": '
+            '[{"kind": "x", "at": 1, "for_s": 1, "target": 1, "variant": 1}]}',
+            "troubles[0].kind",
+        ),
+    ],
+)
+def test_malformed_plan_is_refused_with_its_place(tmp_path, text, finding):
+    path = tmp_path / "plan.json"
+    path.write_text(text)
+    with pytest.raises(SettingsError) as error:
+        read_plan(path)
+    assert finding in str(error.value.findings)
+
+
+def test_shrinking_keeps_only_the_troubles_that_matter():
+    troubles = tuple(
+        Trouble(kind, 6.123, 2.2, 17, 9)
+        for kind in ("vm_kill", "replica_deaf", "vm_pause", "primary_crash")
+    )
+
+    def is_broken(plan):
+        kinds = [trouble.kind for trouble in plan.troubles]
+        return "replica_deaf" in kinds and "primary_crash" in kinds
+
+    reduced = shrink(Plan(1, 3, 1, 4, troubles), is_broken)
+    assert [trouble.kind for trouble in reduced.troubles] == [
+        "replica_deaf",
+        "primary_crash",
+    ]
+    assert reduced.troubles[0] == Trouble("replica_deaf", 6.0, 2.0, 5, 3)
+
+
+def test_command_line_tells_bad_input_from_a_run(tmp_path, capsys):
+    application = create_application()
+    replay = CommandTester(application.find("simulate replay"))
+    assert replay.execute(str(tmp_path / "none.json")) == 2
+    seed = CommandTester(application.find("simulate run"))
+    assert seed.execute("--seed x") == 2
+    assert seed.execute("--seed 3 --json") == 0
+    assert json.loads(capsys.readouterr().out)["violations"] == []
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -1,29 +1,9 @@
-"""Event loop in virtual time, which makes simulated loads deterministic."""
-
-import asyncio
+"""Runs a scenario in virtual time, which makes simulated loads deterministic."""
 
 import pytest
 
 from citronwood import deadline as deadline_module
-
-
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """Event loop whose clock jumps to the next timer instead of waiting for it."""
-
-    def __init__(self):
-        super().__init__()
-        self._now = 0.0
-        select = self._selector.select
-
-        def advance(timeout):
-            if timeout:
-                self._now += timeout
-            return select(0)
-
-        self._selector.select = advance
-
-    def time(self):
-        return self._now
+from citronwood.simulation.loop import VirtualLoop
 
 
 def run_virtually(scenario, *modules):
