--- a/citronwood/cli/demo.py
+++ b/citronwood/cli/demo.py
@@ -7,10 +7,15 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
-from citronwood.demo import ACCOUNT, HOST, KEY, ROUTE, open_demo, run_scenario
-
-# Consecutive ports that the demo listens on.
-PORT_COUNT = 8
+from citronwood.demo import (
+    ACCOUNT,
+    HOST,
+    KEY,
+    PORT_COUNT,
+    ROUTE,
+    open_demo,
+    run_scenario,
+)
 
 
 class DemoCommand(Command):
@@ -19,7 +24,13 @@
     name = "demo"
     description = "Run two VMs, a database group and the platform in one process."
     options = [
-        option("port", None, "TCP port of the first VM", flag=False, default="3406"),
+        option(
+            "port",
+            None,
+            "TCP port of the first VM; 0 for any free ports",
+            flag=False,
+            default="3406",
+        ),
         option("serve", None, "keep running for your own MySQL client"),
     ]
 
@@ -27,8 +38,8 @@
         """Run the scenario, or serve until interrupted."""
         logging.basicConfig(level=logging.ERROR)
         port = int(self.option("port"))
-        if not 1024 <= port <= 65535 - PORT_COUNT:
-            self.line_error(f"--port must be from 1024 to {65535 - PORT_COUNT}")
+        if port and not 1024 <= port <= 65535 - PORT_COUNT:
+            self.line_error(f"--port must be 0 or from 1024 to {65535 - PORT_COUNT}")
             return 2
         coroutine = (
             self._serve(port) if self.option("serve") else self._run_scenario(port)
--- a/citronwood/demo.py
+++ b/citronwood/demo.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Callable, Coroutine
-from contextlib import AsyncExitStack, asynccontextmanager
+import socket
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterator, Sequence
+from contextlib import AsyncExitStack, ExitStack, asynccontextmanager, contextmanager
 from tempfile import TemporaryDirectory
 from time import monotonic
 from typing import Any, NamedTuple
@@ -34,6 +35,8 @@
 log = logging.getLogger(__name__)
 
 HOST = "127.0.0.1"
+# Ports that the demo listens on.
+PORT_COUNT = 8
 ACCOUNT, KEY, ROUTE = "demo", "demo-key", "demo"
 LOGIN = Login("proxy", "proxy")
 FAILURE_DOMAINS = ("seattle", "portland", "spokane")
@@ -47,29 +50,38 @@
 
 
 class DemoPorts(NamedTuple):
-    """TCP ports of the demo, counted from the port of the first VM."""
+    """TCP ports of the demo: for clients, between the VMs, of the other parts."""
 
-    entry: int
+    entries: tuple[int, int]
+    inner: tuple[int, int]
+    members: tuple[int, int, int]
+    platform: int
 
-    @property
-    def entries(self) -> tuple[int, int]:
-        """Ports for clients."""
-        return self.entry, self.entry + 1
 
-    @property
-    def inner(self) -> tuple[int, int]:
-        """Ports for calls between the VMs."""
-        return self.entry + 2, self.entry + 3
+def _assign_ports(ports: Sequence[int]) -> DemoPorts:
+    return DemoPorts(
+        entries=(ports[0], ports[1]),
+        inner=(ports[2], ports[3]),
+        members=(ports[4], ports[5], ports[6]),
+        platform=ports[7],
+    )
+
 
-    @property
-    def members(self) -> tuple[int, int, int]:
-        """Ports of the database members."""
-        return self.entry + 4, self.entry + 5, self.entry + 6
+@contextmanager
+def _reserve_ports() -> Iterator[list[int]]:
+    """Reserve ports that the kernel chooses, for servers that set SO_REUSEADDR.
 
-    @property
-    def platform(self) -> int:
-        """Port of the platform stand-in."""
-        return self.entry + 7
+    A socket that is bound but does not listen keeps others from using its port. The
+    option is set after binding, so that the kernel chooses a port nobody has reserved.
+    """
+    with ExitStack() as stack:
+        ports = []
+        for _ in range(PORT_COUNT):
+            reserving = stack.enter_context(socket.socket())
+            reserving.bind((HOST, 0))
+            reserving.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            ports.append(reserving.getsockname()[1])
+        yield ports
 
 
 class Demo:
@@ -231,9 +243,16 @@
 
 @asynccontextmanager
 async def open_demo(first_port: int) -> AsyncIterator[Demo]:
-    """Run the components of the demo until the context ends."""
+    """Run the components of the demo until the context ends.
+
+    They listen on consecutive ports, or with 0 on ports that the kernel chooses.
+    """
     async with AsyncExitStack() as stack:
-        demo = Demo(DemoPorts(first_port))
+        if first_port:
+            ports: Sequence[int] = range(first_port, first_port + PORT_COUNT)
+        else:
+            ports = stack.enter_context(_reserve_ports())
+        demo = Demo(_assign_ports(ports))
         await demo.open(stack)
         yield demo
 
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -6,13 +6,10 @@
 
 import pytest
 
-from tests.processes import free_port
-
 
 def test_demo_keeps_all_promises():
     # Guards against components that work alone but not together in one VM.
-    port = free_port(8)
-    command = [sys.executable, "-m", "citronwood", "demo", "--port", str(port)]
+    command = [sys.executable, "-m", "citronwood", "demo", "--port", "0"]
     completed = subprocess.run(command, capture_output=True, text=True, timeout=50)
     assert completed.returncode == 0, completed.stdout + completed.stderr
     assert "all promises were kept" in completed.stdout
