Ask a VM again for its newest commit if a call is lost

Cause: during a change of primary with sync_replicas, a VM that has confirmed the fence is asked for its newest commit. One lost or late answer made it unknown, and the change then waited for more servers, without end if these were gone.

Change: the VM is asked up to three times, unless its process has ended. It stays blocked, so its answer is as good later.

Result: the new test fails without the repetition (2 lost calls) and passes with it.

--- a/citronwood/relay/fencing.py
+++ b/citronwood/relay/fencing.py
@@ -32,6 +32,8 @@
 
 FENCE_CALL_TIMEOUT_S = 0.8
 FENCE_RETRY_INTERVAL_S = 0.1
+# A VM that has just confirmed the fence is asked for its newest commit so many times.
+MAX_COMMIT_CALLS = 3
 # Covers the clock drift between two VMs during one lease.
 LEASE_MARGIN_S = 0.2
 
@@ -163,19 +165,32 @@
         return True
 
     async def _ask_commits(self, vm: RegisteredVm, group: str) -> CommitsAnswer | None:
-        try:
-            return await self._rpc.call(
-                vm.url,
-                AskCommits(group),
-                CommitsAnswer,
-                deadline_in(FENCE_CALL_TIMEOUT_S),
-            )
-        except (PeerUnavailableError, DeadlineExceededError, CallFailedError) as error:
-            log_state(
-                log,
-                "commits",
-                "unknown",
-                f"group: {vm.name} did not name its newest commit: {error}",
-                group=group,
-            )
-            return None
+        """Return a VM's newest commit; None if it cannot be learned.
+
+        The VM stays blocked, so its answer is as good later.
+        """
+        reason = ""
+        for _ in range(MAX_COMMIT_CALLS):
+            try:
+                return await self._rpc.call(
+                    vm.url,
+                    AskCommits(group),
+                    CommitsAnswer,
+                    deadline_in(FENCE_CALL_TIMEOUT_S),
+                )
+            except (
+                PeerUnavailableError,
+                DeadlineExceededError,
+                CallFailedError,
+            ) as error:
+                reason = str(error)
+            if await self._has_ended(vm.url):
+                break
+        log_state(
+            log,
+            "commits",
+            "unknown",
+            f"group: {vm.name} did not name its newest commit: {reason}",
+            group=group,
+        )
+        return None
--- a/tests/test_relay_holders.py
+++ b/tests/test_relay_holders.py
@@ -5,7 +5,7 @@
 import pytest
 
 from citronwood.errors import ConnectionLostError, DeadlineExceededError
-from citronwood.relay.fencing import FencedVm, Fencing
+from citronwood.relay.fencing import MAX_COMMIT_CALLS, FencedVm, Fencing
 from citronwood.relay.holders import (
     Holder,
     Report,
@@ -107,17 +107,24 @@
 class FakeRpc:
     def __init__(self, answers):
         self._answers = answers
+        self.calls_to_lose = 0
 
     async def call(self, url, message, answer_type, deadline):
         assert isinstance(message, AskCommits)
-        if self._answers[url] is None:
+        self.calls_to_lose -= 1
+        if self._answers[url] is None or self.calls_to_lose >= 0:
             raise DeadlineExceededError("silent")
         return self._answers[url]
 
 
-def collect(answers, processes, confirmed=True):
+async def never_ended(url):
+    return False
+
+
+def collect(answers, processes, confirmed=True, rpc=None):
     own = Position(1, 2)
-    fencing = Fencing("vm0", FakeRpc(answers), None, None, None, lambda _: own)
+    rpc = rpc or FakeRpc(answers)
+    fencing = Fencing("vm0", rpc, None, never_ended, None, lambda _: own)
     fenced = [FencedVm(RegisteredVm(name, name, 1), confirmed) for name in answers]
     return asyncio.run(fencing.collect_newest_commit("g", fenced, processes))
 
@@ -151,6 +158,17 @@
     assert collect({"vm1": answer}, processes, confirmed=confirmed) is None
 
 
+def test_vm_that_misses_a_request_for_its_newest_commit_is_asked_again():
+    # Guards against a change of primary that waits for lost servers because one call to
+    # a VM timed out.
+    answer = CommitsAnswer(7, False, Position(1, 9))
+    rpc = FakeRpc({"vm1": answer})
+    rpc.calls_to_lose = 2
+    assert collect({"vm1": answer}, {"vm1": 7}, rpc=rpc) == Position(1, 9)
+    rpc.calls_to_lose = MAX_COMMIT_CALLS
+    assert collect({"vm1": answer}, {"vm1": 7}, rpc=rpc) is None
+
+
 def test_newest_commit_is_unknown_after_a_commit_without_a_position():
     commits = NewestCommits()
     assert commits.of_group("g") == Position(0, 0)
