Stop a server of the tests also on connections that it just accepted

Cause: test_primary_that_came_back_empty_has_no_complete_log[True] failed in two of six runs beside other load: the replica that it had stopped was promoted, 29 times in vain. The leader had just connected to it; the stand-in closes the connections whose handler has begun, and one that was accepted an iteration of the event loop before went on answering.

Change: a handler that begins after the stop closes its connection.

Result: a test that stops the stand-in in each iteration after a connection attempt fails on the earlier stand-in in 2 of 8 cases and passes now.

--- a/tests/relay_standins.py
+++ b/tests/relay_standins.py
@@ -346,6 +346,10 @@
         }
 
     async def _serve(self, reader, writer):
+        if not self.running:
+            # Accepted just before the server was stopped.
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         try:
             await self._session(reader, writer)
--- a/tests/test_relay_wire.py
+++ b/tests/test_relay_wire.py
@@ -155,3 +155,24 @@
             await connect_server(host, port, "orders", "-", "s1", deadline)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("rounds", range(8))
+def test_stopped_server_of_the_tests_answers_on_no_connection(rounds):
+    # Guards against a stand-in that goes on answering on a connection which it had just
+    # accepted when it was stopped: it was then promoted again and again, in vain.
+    async def scenario():
+        group = Group("orders")
+        server = group.servers[0]
+        await server.start()
+        connect = asyncio.open_connection("127.0.0.1", server.port)
+        connecting = asyncio.create_task(connect)
+        for _ in range(rounds):
+            await asyncio.sleep(0)
+        await server.stop()
+        with pytest.raises((OSError, asyncio.IncompleteReadError)):
+            reader, writer = await connecting
+            writer.write(b"START orders - orders-0\r\nQUERY - STATUS\r\n")
+            await asyncio.wait_for(reader.readuntil(b"\r\n"), 5.0)
+
+    asyncio.run(scenario())
