Keep the tasks of ended processes until the end of a simulated run

Cause: tasks of a killed process were collected as garbage during the run. That ran their clean-up code, which a killed process does not, and printed a warning for each.

Change: they are kept, unfinished, until the run has ended.

--- a/citronwood/simulation/loop.py
+++ b/citronwood/simulation/loop.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextvars import Context, copy_context
 from typing import Any
+from weakref import WeakSet
 
-from citronwood.simulation.machine import current_machine, guard
+from citronwood.simulation.machine import Machine, current_machine, guard
 from citronwood.simulation.network import Address, Network, SimulatedServer
 
 
@@ -41,14 +42,36 @@
         super().__init__()
         self.network = Network(self)
         self._connecting: dict[int, Any] = {}
+        self._tasks: dict[Machine, WeakSet[asyncio.Task[Any]]] = {}
+        # Kept until the end: clean-up code of ended processes must not run.
+        self._abandoned: list[asyncio.Task[Any]] = []
+        self.set_task_factory(self._create_task)
+
+    def abandon_tasks(self, machine: Machine) -> None:
+        """Leave the tasks of a process that has ended as they are."""
+        self._abandon(self._tasks.pop(machine, ()))
 
     def abandon(self) -> None:
         """Close the loop with all of its tasks, which are not resumed any more."""
-        for task in asyncio.all_tasks(self):
-            # The attribute of tasks for this; a run ends in the middle of them.
-            task._log_destroy_pending = False  # type: ignore[attr-defined]
+        self._abandon(asyncio.all_tasks(self))
         self.close()
 
+    def _abandon(self, tasks: Iterable[asyncio.Task[Any]]) -> None:
+        for task in tasks:
+            # The attribute of tasks that suppresses a warning about this.
+            task._log_destroy_pending = False  # type: ignore[attr-defined]
+            self._abandoned.append(task)
+
+    def _create_task(
+        self, _: asyncio.AbstractEventLoop, coroutine: Any, **options: Any
+    ) -> asyncio.Task[Any]:
+        context = options.get("context") or copy_context()
+        task: asyncio.Task[Any] = asyncio.Task(coroutine, loop=self, context=context)
+        machine = context.get(current_machine)
+        if machine is not None:
+            self._tasks.setdefault(machine, WeakSet()).add(task)
+        return task
+
     def call_soon(  # type: ignore[override]
         self,
         callback: Callable[..., Any],
--- a/citronwood/simulation/network.py
+++ b/citronwood/simulation/network.py
@@ -49,6 +49,10 @@
         """Run a callback at a time."""
         ...
 
+    def abandon_tasks(self, machine: Machine) -> None:
+        """Leave the tasks of a process that has ended as they are."""
+        ...
+
 
 class _Listener(NamedTuple):
     protocol_factory: Callable[[], Any]
@@ -141,6 +145,7 @@
 
     def end_process(self, machine: Machine) -> None:
         """Reset the connections of a process that has just ended."""
+        self._loop.abandon_tasks(machine)
         for address, listener in list(self._listeners.items()):
             if listener.machine is machine:
                 del self._listeners[address]
