Log what tells a restored store from an old lease and a lost answer

Cause: the logs of the incident could not tell its three hypotheses apart: a take-over did not name the version that it replaced beside the newest one seen, a promotion not the rest of the lease, and neither a settled update nor a restored store left a line.

--- a/citronwood/platform/objects.py
+++ b/citronwood/platform/objects.py
@@ -29,6 +29,8 @@
 MAX_PAGES = 1000
 # Also used after the deadline: aiohttp takes a timeout of 0 or less as no timeout.
 MIN_CALL_TIMEOUT_S = 0.05
+# In all answers of the store; rises by one each time it was restored from a copy.
+GENERATION_HEADER = "Store-Era"
 
 _T = TypeVar("_T")
 
@@ -54,6 +56,7 @@
         self._metrics = metrics
         self._session: ClientSession | None = None
         self._failing_since: float | None = None
+        self._generation: int | None = None
 
     async def __aenter__(self) -> Self:
         return self
@@ -173,6 +176,14 @@
             raise PlatformUnavailableError(f"{kind}/{name}: unknown outcome") from None
         if stored.value == value:
             self._metrics.count("platform.settled")
+            log_state(
+                log,
+                "update",
+                "settled",
+                f"platform: {kind}/{name} has the update whose answer was lost",
+                version=stored.version,
+                expected=expected,
+            )
             return stored.version
         if expected != ANY_VERSION and stored.version != expected:
             raise VersionConflictError(kind, name, expected, stored.version)
@@ -201,6 +212,7 @@
             ) as response:
                 content = await response.read()
                 status = response.status
+                self._note_generation(response.headers.get(GENERATION_HEADER), label)
         except (ClientError, TimeoutError, OSError, ValueError) as error:
             failure = type(error).__name__
         else:
@@ -213,6 +225,20 @@
         self._metrics.timing(f"platform.{label}", (monotonic() - started) * 1000)
         return _Response(status, content)
 
+    def _note_generation(self, text: str | None, label: str) -> None:
+        """Log that the store was restored from a copy since its last answer."""
+        if text is None or not text.isdecimal():
+            return
+        generation = int(text)
+        if self._generation is not None and generation > self._generation:
+            message = (
+                f"platform: the store was restored from a copy, generation {generation}"
+            )
+            log_state(
+                log, "store", "restored", message, call=label, generation=generation
+            )
+        self._generation = max(generation, self._generation or 0)
+
     def _track_availability(self, failure: str, label: str) -> None:
         """Log the start and the end of an outage."""
         now = monotonic()
--- a/citronwood/relay/leadership.py
+++ b/citronwood/relay/leadership.py
@@ -384,6 +384,8 @@
             await self._read()
 
     async def _become_leader(self, state: FleetState, version: int) -> None:
+        newest_version = self._newest_version
+        since_renewal_s = now() - self._renewal_seen_at
         new = _with_next_edition(
             state._replace(
                 leader=self._name,
@@ -400,6 +402,10 @@
             "fleet: this VM is the leader now",
             fence=new.fence,
             version=version,
+            newest_version=newest_version,
+            previous_leader=state.leader,
+            previous_fence=state.fence,
+            since_renewal_ms=round(since_renewal_s * 1000),
         )
 
     async def _write(self, state: FleetState, version: int | None = None) -> FleetState:
