--- a/tests/relay_standins.py
+++ b/tests/relay_standins.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from itertools import count
+from typing import NamedTuple
 
 from aiohttp import web
 
@@ -14,12 +15,26 @@
 from citronwood.platform.api import ANY_VERSION, Listing, VersionedObject
 from citronwood.relay.clock import now
 
+# Versions of the store count on from here with each restore from a copy.
+GENERATION_SPAN = 10**12
+# Kinds whose writers write their objects again after a restore.
+FOREIGN_KINDS = ("config", "servers")
+
+
+class StoreCopy(NamedTuple):
+    """Content of a store at one moment."""
+
+    version: int
+    objects: dict[str, dict[str, VersionedObject]]
+
 
 class MemoryStore:
     """Store in memory.
 
     The next ``answers_to_lose`` writes are executed, but their answers are lost. All
-    calls fail while the store is ``unavailable``.
+    calls fail while the store is ``unavailable``. A version is the generation of the
+    store, the number of its restores, times ``GENERATION_SPAN``, plus a revision, which
+    goes back with each restore.
     """
 
     def __init__(self):
@@ -74,6 +89,35 @@
         self.version += 1
         self.objects.setdefault(kind, {})[name] = VersionedObject(value, self.version)
 
+    @property
+    def generation(self):
+        """Number of restores from a copy."""
+        return self.version // GENERATION_SPAN
+
+    def copy(self):
+        """Return a copy for ``restore``."""
+        objects = {kind: dict(stored) for kind, stored in self.objects.items()}
+        return StoreCopy(self.version, objects)
+
+    def restore(self, copy):
+        """Go back to a copy; the operator and the servers then write again."""
+        lost = {kind: self.objects.get(kind, {}) for kind in FOREIGN_KINDS}
+        generation = self.generation + 1
+        first = generation * GENERATION_SPAN
+        self.version = first + copy.version % GENERATION_SPAN
+        self.objects = {
+            kind: {
+                name: VersionedObject(
+                    stored.value, first + stored.version % GENERATION_SPAN
+                )
+                for name, stored in objects.items()
+            }
+            for kind, objects in copy.objects.items()
+        }
+        for kind, objects in lost.items():
+            for name, stored in objects.items():
+                self.put_directly(kind, name, stored.value)
+
     def _start_call(self, call, kind):
         self.calls.append((call, kind))
         if self.unavailable:
@@ -107,6 +151,7 @@
     The next ``answers_to_lose`` writes are executed, but their answers are never sent.
     The next ``calls_to_delay`` writes are executed with a delay of 0.6 s.
     ``refusal_statuses`` lists the status codes with which the next calls are refused.
+    All answers name the generation of the store, which counts its restores from a copy.
     """
 
     def __init__(self):
@@ -122,6 +167,7 @@
 
     async def __aenter__(self):
         application = web.Application()
+        application.on_response_prepare.append(self._add_generation)
         application.router.add_route("*", "/api/objects/{kind}", self._handle_kind)
         application.router.add_route(
             "*", "/api/objects/{kind}/{name}", self._handle_object
@@ -137,6 +183,15 @@
     async def __aexit__(self, *_):
         await self._runner.cleanup()
 
+    async def _add_generation(self, request, response):
+        response.headers["Store-Era"] = str(self.store.generation)
+
+    def _to_version(self, revision):
+        """Return the version for a revision that a call names; 0 stays 0."""
+        if revision in (0, ANY_VERSION):
+            return revision
+        return self.store.generation * GENERATION_SPAN + revision
+
     async def _handle_kind(self, request):
         refusal = self._refusal()
         if refusal is not None:
@@ -155,7 +210,9 @@
         texts = [json.dumps(item).encode() for item in items]
         if not more:
             texts += self.foreign_items
-        end = json.dumps({"more": more, "store_revision": self.store.version})
+        end = json.dumps(
+            {"more": more, "store_revision": self.store.version % GENERATION_SPAN}
+        )
         body = b'{"items": [%s], %s' % (b", ".join(texts), end[1:].encode())
         return web.Response(body=body, content_type="application/json")
 
@@ -172,7 +229,7 @@
         if stored is None:
             return web.json_response({}, status=404)
         if request.method == "DELETE":
-            expected = int(request.query.get("revision", "0"))
+            expected = self._to_version(int(request.query.get("revision", "0")))
             try:
                 await self.store.delete(kind, name, expected, 0.0)
             except VersionConflictError:
@@ -180,6 +237,8 @@
         return web.json_response(_encode_object(name, stored))
 
     def _refusal(self):
+        if self.store.unavailable:
+            return web.json_response({}, status=503)
         if not self.refusal_statuses:
             return None
         return web.json_response({}, status=self.refusal_statuses.pop(0))
@@ -189,7 +248,8 @@
             self.calls_to_delay -= 1
             await asyncio.sleep(0.6)
         try:
-            await self.store.put(kind, name, body["spec"], expected, 0.0)
+            version = self._to_version(expected)
+            await self.store.put(kind, name, body["spec"], version, 0.0)
         except VersionConflictError:
             stored = self.store.objects.get(kind, {}).get(name)
             status = 404 if stored is None else 409
@@ -204,7 +264,7 @@
 def _encode_object(name, stored):
     meta = {
         "name": name,
-        "revision": stored.version,
+        "revision": stored.version % GENERATION_SPAN,
         "created": 1,
         "finalizers": [],
         "deleting": False,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -114,7 +114,8 @@
         # Values written at an old primary after another server was promoted.
         self.fork_writes = []
         self.proxies = {}
-        self.fencing_tokens = []
+        # (holder, fencing token) of all calls to promote, in their order.
+        self.promotions = []
 
     def register(self, store):
         for server in self.servers:
@@ -125,7 +126,8 @@
     async def on_promote(self, request):
         """Promote a server; stands in for the platform's call."""
         body = await request.json()
-        self.fencing_tokens.append(int(request.headers["Fencing-Token"]))
+        holder = request.headers["Duty-Holder"]
+        self.promotions.append((holder, int(request.headers["Fencing-Token"])))
         chosen = next(
             (backend for backend in self.servers if backend.id == body["id"]), None
         )
@@ -148,13 +150,14 @@
     def __init__(self, number, folder, store_port, promote_port):
         # Each run has its own addresses, because the port of the metrics page is fixed.
         run_id = os.getpid() % 50_000
+        self.name = f"vm{number}"
         self.host = f"127.{run_id // 250 + 1}.{run_id % 250}.{10 + number}"
         self.store = FaultProxy(store_port)
         self.port = reserve_port(self.host)
         self.log = folder / f"vm{number}.log"
         self._path = folder / f"vm{number}.conf"
         fields = {
-            "node": f"vm{number}",
+            "node": self.name,
             "zone": f"z{number % 3}",
             "listen.front": f"{self.host}:{self.port}",
             "listen.ready": f"{self.host}:{reserve_port(self.host)}",
@@ -185,6 +188,13 @@
         self.store.close()
 
 
+def are_tokens_in_order(promotions):
+    """Whether fencing tokens do not decrease, and none has two holders."""
+    tokens = [token for _, token in promotions]
+    holders = len({token: holder for holder, token in promotions})
+    return sorted(tokens) == tokens and holders == len(set(promotions))
+
+
 class AcknowledgedWrite(NamedTuple):
     """Write that was acknowledged to ``session`` at the time ``at``."""
 
@@ -513,8 +523,8 @@
                 self.add_violation(
                     f"{value} was stored although it was refused as not run"
                 )
-        if sorted(self.group.fencing_tokens) != self.group.fencing_tokens:
-            self.add_violation(f"fencing tokens decreased: {self.group.fencing_tokens}")
+        if not are_tokens_in_order(self.group.promotions):
+            self.add_violation(f"promotions out of order: {self.group.promotions}")
         texts = [
             text for backend in self.group.servers for _, text in backend.statements
         ]
