Order versions of the store across its restores from a copy

Cause: revisions go back with a restore and are given out again. VMs compare them as if they only rose, so that they refuse what the restored store has, and a condition on a revision may hold again for another content. Change: a version is one number with the generation of the store, which it names in every answer, before the revision. An update or a removal that names a version of an earlier generation is not sent, and one that a newer generation has answered raises StoreRestoredError, because the store compares revisions alone. A listing whose pages are of two generations is not used.

--- a/citronwood/errors.py
+++ b/citronwood/errors.py
@@ -86,8 +86,22 @@
         self.actual = actual
 
 
+class StoreRestoredError(VersionConflictError):
+    """The store was restored from a copy since it gave out the expected version.
+
+    Whether the update has taken effect in the restored store is not known.
+    """
+
+
 class ObjectNotFoundError(PlatformError):
-    """The platform's store has no object of this name."""
+    """The platform's store has no object of this name.
+
+    ``version`` is the expected version with which the object can be created.
+    """
+
+    def __init__(self, message: str, version: int = 0) -> None:
+        super().__init__(message)
+        self.version = version
 
 
 class NotLeaderError(PlatformError):
--- a/citronwood/platform/api.py
+++ b/citronwood/platform/api.py
@@ -4,7 +4,10 @@
 
 
 class VersionedObject(NamedTuple):
-    """Value of an object with its version, which increases with every change."""
+    """Value of an object with its version, which increases with every change.
+
+    Versions are those of ``citronwood.versions``.
+    """
 
     value: dict[str, Any]
     version: int
@@ -51,11 +54,13 @@
     ) -> int:
         """Replace an object and return its new version.
 
-        ``expected_version`` 0 creates the object, and ``ANY_VERSION`` replaces any
-        existing one. Raises ``VersionConflictError``, with ``ANY_VERSION`` if there is
-        no object. When a response is lost, the object is read back and has the value of
-        the update if the update took effect. All updates of an object must therefore
-        have distinct values.
+        ``expected_version`` with revision 0 creates the object, and ``ANY_VERSION``
+        replaces any existing one. Raises ``VersionConflictError``, with ``ANY_VERSION``
+        if there is no object, and ``StoreRestoredError`` if the store was restored from
+        a copy since the expected version was read. When a response is lost, the object
+        is read back and has the value of the update if the update took effect. All
+        updates of an object must therefore have distinct
+        values.
         """
         ...
 
@@ -64,7 +69,7 @@
     ) -> None:
         """Delete an object if its version is ``expected_version``; 0 matches any.
 
-        Raises ``VersionConflictError``.
+        Raises ``VersionConflictError``, and ``StoreRestoredError`` as in ``put``.
         """
         ...
 
--- a/citronwood/platform/objects.py
+++ b/citronwood/platform/objects.py
@@ -16,11 +16,13 @@
     ObjectNotFoundError,
     PlatformError,
     PlatformUnavailableError,
+    StoreRestoredError,
     VersionConflictError,
 )
 from citronwood.metrics import Metrics
 from citronwood.platform.api import ANY_VERSION, Listing, VersionedObject
 from citronwood.platform.pages import StoredObject, decode_object, decode_page
+from citronwood.versions import generation_of, make_version, revision_of
 
 log = logging.getLogger(__name__)
 
@@ -38,6 +40,7 @@
 class _Response(NamedTuple):
     status: int
     body: bytes
+    generation: int
 
 
 class HttpObjectStore:
@@ -56,6 +59,7 @@
         self._metrics = metrics
         self._session: ClientSession | None = None
         self._failing_since: float | None = None
+        # Newest generation of the store that an answer has named; None before that.
         self._generation: int | None = None
 
     async def __aenter__(self) -> Self:
@@ -79,8 +83,10 @@
         """Return an object or raise ``ObjectNotFoundError``."""
         response = await self._call("GET", f"{kind}/{name}", deadline)
         if response.status == 404:
-            raise ObjectNotFoundError(f"{kind}/{name} does not exist")
-        return _to_versioned(self._decode(response, decode_object))
+            raise ObjectNotFoundError(
+                f"{kind}/{name} does not exist", make_version(response.generation, 0)
+            )
+        return self._decode_versioned(response)
 
     async def put(
         self,
@@ -91,11 +97,13 @@
         deadline: float,
     ) -> int:
         """Replace an object and return its new version."""
+        self._check_generation(kind, name, expected_version, self._generation or 0)
         meta: dict[str, Any] = {"name": name, "finalizers": []}
-        if expected_version:
+        revision = revision_of(expected_version)
+        if expected_version == ANY_VERSION or revision:
             method, path = "PUT", f"{kind}/{name}"
             if expected_version != ANY_VERSION:
-                meta["revision"] = expected_version
+                meta["revision"] = revision
         else:
             method, path = "POST", kind
         body = msgspec.json.encode({"meta": meta, "spec": value})
@@ -106,22 +114,28 @@
             return await self._resolve_outcome(
                 kind, name, value, expected_version, deadline
             )
+        self._check_generation(kind, name, expected_version, response.generation)
         if response.status == 404 and expected_version == ANY_VERSION:
             raise VersionConflictError(kind, name, expected_version, 0)
         if response.status in (404, 409):
             return await self._resolve_outcome(
                 kind, name, value, expected_version, deadline, conflict=True
             )
-        return self._decode(response, decode_object).meta.revision
+        return self._decode_versioned(response).version
 
     async def delete(
         self, kind: str, name: str, expected_version: int, deadline: float
     ) -> None:
         """Delete an object if its version is ``expected_version``; 0 matches any."""
-        query = {"revision": str(expected_version)} if expected_version else {}
+        query = {}
+        if expected_version:
+            self._check_generation(kind, name, expected_version, self._generation or 0)
+            query["revision"] = str(revision_of(expected_version))
         response = await self._call("DELETE", f"{kind}/{name}", deadline, query=query)
+        if expected_version:
+            self._check_generation(kind, name, expected_version, response.generation)
         if response.status == 409:
-            actual = self._decode(response, decode_object).meta.revision
+            actual = self._decode_versioned(response).version
             raise VersionConflictError(kind, name, expected_version, actual)
         if response.status not in (200, 204, 404):
             raise PlatformUnavailableError(f"delete: status {response.status}")
@@ -138,10 +152,14 @@
         for _ in range(MAX_PAGES):
             response = await self._call("GET", kind, deadline, query=query)
             page = self._decode(response, decode_page)
-            version = page.store_revision if version is None else version
+            found = make_version(response.generation, page.store_revision)
+            version = found if version is None else version
+            if generation_of(version) != response.generation:
+                # The pages are not of one content; objects may be in none of them.
+                raise PlatformUnavailableError(f"{kind}: restored between two pages")
             for item in page.items:
                 if not item.meta.deleting:
-                    objects[item.meta.name] = _to_versioned(item)
+                    objects[item.meta.name] = _to_versioned(item, response.generation)
             if not page.more:
                 return Listing(objects, version)
             if not page.items:
@@ -170,10 +188,12 @@
             stored = await self.get(
                 kind, name, max(deadline, deadline_in(MIN_CALL_TIMEOUT_S))
             )
-        except ObjectNotFoundError:
+        except ObjectNotFoundError as error:
+            self._check_generation(kind, name, expected, generation_of(error.version))
             if conflict:
                 raise VersionConflictError(kind, name, expected, 0) from None
             raise PlatformUnavailableError(f"{kind}/{name}: unknown outcome") from None
+        self._check_generation(kind, name, expected, generation_of(stored.version))
         if stored.value == value:
             self._metrics.count("platform.settled")
             log_state(
@@ -212,7 +232,7 @@
             ) as response:
                 content = await response.read()
                 status = response.status
-                self._note_generation(response.headers.get(GENERATION_HEADER), label)
+                header = response.headers.get(GENERATION_HEADER)
         except (ClientError, TimeoutError, OSError, ValueError) as error:
             failure = type(error).__name__
         else:
@@ -223,21 +243,35 @@
             self._metrics.count(f"platform.failures.{label}")
             raise PlatformUnavailableError(f"{label}: {failure}")
         self._metrics.timing(f"platform.{label}", (monotonic() - started) * 1000)
-        return _Response(status, content)
+        return _Response(status, content, self._read_generation(header, label))
 
-    def _note_generation(self, text: str | None, label: str) -> None:
-        """Log that the store was restored from a copy since its last answer."""
+    def _read_generation(self, text: str | None, label: str) -> int:
+        """Return the generation that an answer names; log the first of a new one."""
+        if text is None and self._generation is None:
+            return 0
         if text is None or not text.isdecimal():
-            return
+            self._metrics.count("platform.malformed")
+            raise PlatformUnavailableError(f"{label}: malformed generation {text!r}")
         generation = int(text)
         if self._generation is not None and generation > self._generation:
-            message = (
-                f"platform: the store was restored from a copy, generation {generation}"
-            )
+            self._metrics.count("platform.restored")
+            message = f"platform: the store was restored, generation {generation}"
             log_state(
                 log, "store", "restored", message, call=label, generation=generation
             )
         self._generation = max(generation, self._generation or 0)
+        return generation
+
+    def _check_generation(
+        self, kind: str, name: str, expected: int, generation: int
+    ) -> None:
+        """Raise ``StoreRestoredError`` if an expected version is of an earlier one.
+
+        The store compares revisions alone, and the same ones are given out again.
+        """
+        if expected != ANY_VERSION and generation_of(expected) < generation:
+            actual = make_version(generation, 0)
+            raise StoreRestoredError(kind, name, expected, actual)
 
     def _track_availability(self, failure: str, label: str) -> None:
         """Log the start and the end of an outage."""
@@ -257,6 +291,10 @@
             self._session = ClientSession(cookie_jar=DummyCookieJar())
         return self._session
 
+    def _decode_versioned(self, response: _Response) -> VersionedObject:
+        item = self._decode(response, decode_object)
+        return _to_versioned(item, response.generation)
+
     def _decode(self, response: _Response, decode: Callable[[bytes], _T]) -> _T:
         if response.status not in (200, 201, 409):
             raise PlatformUnavailableError(f"status {response.status}")
@@ -267,8 +305,9 @@
             raise PlatformUnavailableError(f"malformed answer: {error}") from None
 
 
-def _to_versioned(item: StoredObject) -> VersionedObject:
-    return VersionedObject(_as_dict(item.spec), item.meta.revision)
+def _to_versioned(item: StoredObject, generation: int) -> VersionedObject:
+    version = make_version(generation, item.meta.revision)
+    return VersionedObject(_as_dict(item.spec), version)
 
 
 def _as_dict(value: Any) -> dict[str, Any]:
--- a/tests/relay_standins.py
+++ b/tests/relay_standins.py
@@ -10,6 +10,7 @@
 from citronwood.errors import (
     ObjectNotFoundError,
     PlatformUnavailableError,
+    StoreRestoredError,
     VersionConflictError,
 )
 from citronwood.platform.api import ANY_VERSION, Listing, VersionedObject
@@ -48,17 +49,20 @@
         self._start_call("get", kind)
         stored = self.objects.get(kind, {}).get(name)
         if stored is None:
-            raise ObjectNotFoundError(f"{kind}/{name}")
+            version = self.generation * GENERATION_SPAN
+            raise ObjectNotFoundError(f"{kind}/{name}", version)
         return stored
 
     async def put(self, kind, name, value, expected_version, deadline):
         self._start_call("put", kind)
         await asyncio.sleep(0)
         objects = self.objects.setdefault(kind, {})
-        actual = objects[name].version if name in objects else 0
+        self._check_generation(kind, name, expected_version)
+        missing = self.generation * GENERATION_SPAN
+        actual = objects[name].version if name in objects else missing
         is_expected = actual == expected_version
         if expected_version == ANY_VERSION:
-            is_expected = actual > 0
+            is_expected = actual > missing
         if not is_expected:
             raise VersionConflictError(kind, name, expected_version, actual)
         self.version += 1
@@ -75,6 +79,8 @@
         if name not in objects:
             return
         actual = objects[name].version
+        if expected_version:
+            self._check_generation(kind, name, expected_version)
         if expected_version and actual != expected_version:
             raise VersionConflictError(kind, name, expected_version, actual)
         del objects[name]
@@ -118,6 +124,12 @@
             for name, stored in objects.items():
                 self.put_directly(kind, name, stored.value)
 
+    def _check_generation(self, kind, name, expected):
+        """Refuse an update that names a version of an earlier generation."""
+        if expected != ANY_VERSION and expected // GENERATION_SPAN < self.generation:
+            missing = self.generation * GENERATION_SPAN
+            raise StoreRestoredError(kind, name, expected, missing)
+
     def _start_call(self, call, kind):
         self.calls.append((call, kind))
         if self.unavailable:
@@ -188,7 +200,7 @@
 
     def _to_version(self, revision):
         """Return the version for a revision that a call names; 0 stays 0."""
-        if revision in (0, ANY_VERSION):
+        if revision == ANY_VERSION:
             return revision
         return self.store.generation * GENERATION_SPAN + revision
 
@@ -229,7 +241,8 @@
         if stored is None:
             return web.json_response({}, status=404)
         if request.method == "DELETE":
-            expected = self._to_version(int(request.query.get("revision", "0")))
+            revision = int(request.query.get("revision", "0"))
+            expected = self._to_version(revision) if revision else 0
             try:
                 await self.store.delete(kind, name, expected, 0.0)
             except VersionConflictError:
