Keep one leader and one primary when the store is restored from a copy

What callers saw: two VMs acted as the one that decides; with an unlucky copy nobody decided, so that no failed primary was replaced and, after 5 s, no primary was used. Cause: the fencing token, the numbers of changes and the edition of the state were counted up from values that only the store kept, and leases, the list of VMs and the record of the primaries were believed although they came from a copy. Change: these numbers are derived from the version that an update replaces, so that none is given out twice. A state that was last written in an earlier generation is never used as it is. A leader writes its own state again while its lease lasts; otherwise another VM takes over once every earlier lease as leader has ended, from the newest content that it finds, and all groups are checked before their primaries are used: the primary that leads the newest term which any server or VM knows is kept. VMs register again and keep the lease that they have; until all leases from before have ended, a change of primary waits for them, because the list may lack VMs. New groups wait too.

--- a/citronwood/inner/rpc.py
+++ b/citronwood/inner/rpc.py
@@ -83,7 +83,8 @@
         self._incarnation = time.time_ns() // 1_000_000
         self._metrics = metrics
         self._refusals = RefusalCounter(metrics)
-        self._transport = Transport(Codec(secret), self._refusals)
+        self._codec = Codec(secret)
+        self._transport = Transport(self._codec, self._refusals)
         self._handlers: dict[str, _Handler] = {}
         self._pending: dict[int, _PendingCall] = {}
         self._next_call_id = secrets.randbits(60) + 1
@@ -119,6 +120,10 @@
         """Transport with its traffic counters."""
         return self._transport
 
+    def set_secret(self, secret: bytes) -> None:
+        """Use another secret for all frames from now on."""
+        self._codec.set_secret(secret)
+
     def start(self, listen_url: str, advertised_url: str | None = None) -> None:
         """Listen for messages; other VMs use ``advertised_url`` if it is set.
 
--- a/citronwood/platform/nodefile.py
+++ b/citronwood/platform/nodefile.py
@@ -23,6 +23,7 @@
     ``promotions`` are the addresses of the platform's object store and of its service
     that promotes backend servers. ``grace_s`` is the time between the stop signal and
     the forced termination. ``processors`` is the processor time of the VM, in cores.
+    ``is_first_start`` is set when the whole fleet starts for the first time.
     """
 
     name: str
@@ -34,6 +35,7 @@
     promotions: Address
     grace_s: float
     processors: float
+    is_first_start: bool = False
 
 
 def parse_fields(text: str) -> dict[str, str]:
@@ -92,6 +94,7 @@
         grace_s=optional_number("bounds.grace_s", 6.0),
         processors=optional_number("limits.cpu_share", 1.0)
         * optional_number("limits.cores", 1.0),
+        is_first_start=fields.get("bootstrap") == "true",
     )
     if findings:
         raise SettingsError(findings)
--- a/citronwood/platform/process.py
+++ b/citronwood/platform/process.py
@@ -83,6 +83,7 @@
                 settings.callers.host,
                 settings.first_inner_port,
                 settings.processors,
+                settings.is_first_start,
             ),
             store,
             FEED_KINDS,
--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -33,6 +33,7 @@
 from citronwood.relay.servers import Servers
 from citronwood.relay.succession import RECENT_ANSWER_S, Succession
 from citronwood.relay.view import GroupState, PrimaryView
+from citronwood.versions import number_after
 
 log = logging.getLogger(__name__)
 
@@ -132,6 +133,10 @@
 
     async def _adopt_primary(self, group: str) -> None:
         """Record the server that reports itself as primary of a new group."""
+        state = self._view.state
+        if state is not None and state.restored:
+            # VMs may use a primary that was recorded after the copy was made.
+            return
         claimants = [
             claimant
             for claimant in self._servers.of_group(group)
@@ -143,7 +148,8 @@
             probe = await self._probes.status(server.id, deadline_in(STATUS_TIMEOUT_S))
             if probe is None or not probe.status.is_primary:
                 continue
-            new = GroupState(server.id, probe.status.term, False, 1)
+            number = number_after(self._view.version)
+            new = GroupState(server.id, probe.status.term, False, number)
             if self._sync_replicas(group):
                 report = Report(server, probe.status.received)
                 self._note_observation(report, probe.asked_at, processes)
@@ -170,8 +176,9 @@
             reason=reason,
             term=current.term,
         )
+        number = number_after(self._view.version)
         state = await self._leadership.change_groups(
-            lambda groups: {**groups, group: _begin_change(groups[group])}
+            lambda groups: {**groups, group: _begin_change(groups[group], number)}
         )
         changing = state.groups[group]
         self._last_status_at.pop(group, None)
@@ -234,11 +241,8 @@
 
     async def _is_reachable_by_others(self, server: str) -> bool:
         """Whether at least half of the VMs that answer and know the server reach it."""
-        vms = [
-            peer
-            for peer in await self._registry.list_vms()
-            if peer.url and peer.name != self._name
-        ]
+        listing = await self._registry.list_vms()
+        vms = [peer for peer in listing.vms if peer.url and peer.name != self._name]
         vms = random.sample(vms, min(MAX_WITNESSES, len(vms)))
         answers = await asyncio.gather(*(self._ask_reachable(vm, server) for vm in vms))
         votes = [vote for vote in answers if vote is not None]
@@ -258,7 +262,20 @@
 
     async def _replace_primary(self, group: str, current: GroupState) -> None:
         written_at = self._view.change_seen_at(group)
-        fenced = await self._fencing.block(group, current.change, written_at)
+        state = self._view.state
+        blocked = self._fencing.block(
+            group,
+            current.change,
+            written_at,
+            is_list_complete=state is not None and not state.restored,
+        )
+        if current.uncertain:
+            fenced, term = await asyncio.gather(
+                blocked, self._succession.newest_term(group, current)
+            )
+            current = self._with_newest_primary(group, current, fenced, term)
+        else:
+            fenced = await blocked
         current = await self._note_newest_commit(group, current, written_at, fenced)
         new = await self._succession.promote_lasting(group, current)
         await self._write_group(group, new)
@@ -277,6 +294,32 @@
         if current.primary != new.primary:
             self._succession.step_down_later(current.primary, new.term)
 
+    def _with_newest_primary(
+        self, group: str, current: GroupState, fenced: list[FencedVm], term: int
+    ) -> GroupState:
+        """Return an uncertain group with the newest primary that any VM knew.
+
+        ``term`` is the newest one that a server knows. If no VM knew its primary, the
+        name is empty.
+        """
+        known = [(entry.term, entry.primary) for entry in fenced]
+        newest = max([self._view.newest_primary(group), *known])
+        if max(term, newest[0]) <= current.term:
+            return current
+        if term > newest[0]:
+            newest = (term, "")
+        log_state(
+            log,
+            "primary_change",
+            "newer_primary",
+            f"group: {group}: term {newest[0]} began after the copy of the store",
+            group=group,
+            recorded_primary=current.primary,
+            recorded_term=current.term,
+            newest_primary=newest[1],
+        )
+        return current._replace(term=newest[0], primary=newest[1])
+
     async def _note_newest_commit(
         self,
         group: str,
@@ -292,6 +335,7 @@
         seen = self._observations.get(group)
         if (
             not self._sync_replicas(group)
+            or current.uncertain
             or current.newest_commit is not None
             or seen is None
             or seen.primary != current.primary
@@ -319,7 +363,5 @@
         await self._leadership.change_groups(lambda old: {**old, group: new})
 
 
-def _begin_change(current: GroupState) -> GroupState:
-    return current._replace(
-        changing=True, change=current.change + 1, newest_commit=None
-    )
+def _begin_change(current: GroupState, number: int) -> GroupState:
+    return current._replace(changing=True, change=number, newest_commit=None)
--- a/citronwood/relay/fencing.py
+++ b/citronwood/relay/fencing.py
@@ -25,8 +25,9 @@
     GroupFenced,
 )
 from citronwood.relay.model import Position
-from citronwood.relay.registry import RegisteredVm
-from citronwood.relay.view import LEASE_S
+from citronwood.relay.registry import RegisteredVm, VmListing
+from citronwood.relay.view import LEASE_MARGIN_S, LEASE_S
+from citronwood.versions import generation_of
 
 log = logging.getLogger(__name__)
 
@@ -34,19 +35,20 @@
 FENCE_RETRY_INTERVAL_S = 0.1
 # A VM that has just confirmed the fence is asked for its newest commit so many times.
 MAX_COMMIT_CALLS = 3
-# Covers the clock drift between two VMs during one lease.
-LEASE_MARGIN_S = 0.2
 
 
 class FencedVm(NamedTuple):
     """VM that does not use a group's primary any more.
 
     ``has_confirmed`` is False if that is known only because its process or its lease
-    has ended.
+    has ended. ``term`` is the newest term of the group that the VM knew, and
+    ``primary`` its primary; -1 if it knew none or has not confirmed.
     """
 
     vm: RegisteredVm
     has_confirmed: bool
+    term: int = -1
+    primary: str = ""
 
 
 class Fencing:
@@ -70,7 +72,7 @@
         self,
         name: str,
         rpc: Rpc,
-        list_vms: Callable[[], Awaitable[list[RegisteredVm]]],
+        list_vms: Callable[[], Awaitable[VmListing]],
         has_ended: Callable[[str], Awaitable[bool]],
         fence_locally: Callable[[FenceGroup], Awaitable[None]],
         newest_commit: Callable[[str], Position | None],
@@ -82,21 +84,40 @@
         self._fence_locally = fence_locally
         self._newest_commit = newest_commit
 
-    async def block(self, group: str, change: int, written_at: float) -> list[FencedVm]:
+    async def block(
+        self, group: str, change: int, written_at: float, is_list_complete: bool
+    ) -> list[FencedVm]:
         """Have all VMs block the group; return when none uses the old primary.
 
         For each VM, this takes until it has confirmed the fence, its process has ended,
         or its lease has expired. ``written_at`` is the time at which the change was
         written to the store, after which no lease on an earlier state has begun. The
         result has the other VMs.
+
+        Without ``is_list_complete``, the store was restored from a copy lately. Its
+        list of VMs may then lack some that use the old primary, so all leases are
+        waited for.
         """
         message = FenceGroup(group, change)
         await self._fence_locally(message)
-        vms = [vm for vm in await self._list_vms() if vm.name != self._name]
+        listing = await self._list_vms()
+        vms = [vm for vm in listing.vms if vm.name != self._name]
         lease_end = written_at + LEASE_S + LEASE_MARGIN_S
-        return await asyncio.gather(
+        fenced = await asyncio.gather(
             *(self._fence_vm(vm, message, lease_end) for vm in vms)
         )
+        if not is_list_complete or listing.generation != generation_of(change):
+            log_state(
+                log,
+                "fence",
+                "list_incomplete",
+                f"group: {group}: waiting for all leases, because the store was "
+                "restored from a copy",
+                group=group,
+                left_ms=round(max(0.0, lease_end - now()) * 1000),
+            )
+            await asyncio.sleep(max(0.0, lease_end - now()))
+        return fenced
 
     async def collect_newest_commit(
         self,
@@ -136,8 +157,9 @@
     ) -> FencedVm:
         while now() < lease_end:
             if vm.url:
-                if await self._confirms(vm, message):
-                    return FencedVm(vm, has_confirmed=True)
+                answer = await self._ask_to_fence(vm, message)
+                if answer is not None:
+                    return FencedVm(vm, True, answer.term, answer.primary)
                 if await self._has_ended(vm.url):
                     return FencedVm(vm, has_confirmed=False)
             await asyncio.sleep(FENCE_RETRY_INTERVAL_S)
@@ -150,19 +172,20 @@
         )
         return FencedVm(vm, has_confirmed=False)
 
-    async def _confirms(self, vm: RegisteredVm, message: FenceGroup) -> bool:
-        """Whether a process at the VM's address confirms the fence.
+    async def _ask_to_fence(
+        self, vm: RegisteredVm, message: FenceGroup
+    ) -> GroupFenced | None:
+        """Return the confirmation of a process at the VM's address, if it confirms.
 
         An answer from a newer process at this address counts as well, because the
         registered process has then ended.
         """
         try:
-            await self._rpc.call(
+            return await self._rpc.call(
                 vm.url, message, GroupFenced, deadline_in(FENCE_CALL_TIMEOUT_S)
             )
         except (PeerUnavailableError, DeadlineExceededError, CallFailedError):
-            return False
-        return True
+            return None
 
     async def _ask_commits(self, vm: RegisteredVm, group: str) -> CommitsAnswer | None:
         """Return a VM's newest commit; None if it cannot be learned.
--- a/citronwood/relay/leadership.py
+++ b/citronwood/relay/leadership.py
@@ -5,6 +5,11 @@
 is known to have ended. The leader's lease lasts for ``LEADER_LEASE_S`` from the moment
 it sent its last renewal. The lease is shorter than the takeover timeout, so two leaders
 never act at the same time.
+
+After the store was restored from a copy, the leader writes the state that it knows, if
+its lease has not ended; nobody else has changed the state then. Otherwise another VM
+takes over from the newest state that it finds, once every lease of an earlier leader
+has ended, and all groups are checked before their primaries are used.
 """
 
 import asyncio
@@ -24,13 +29,21 @@
     ObjectNotFoundError,
     PlatformError,
     PlatformUnavailableError,
+    StoreRestoredError,
     VersionConflictError,
 )
 from citronwood.platform.api import ObjectStore
 from citronwood.relay.clock import now
 from citronwood.relay.holders import Holder
 from citronwood.relay.model import Position
-from citronwood.relay.view import FleetState, GroupState, PrimaryView
+from citronwood.relay.view import (
+    LEASE_MARGIN_S,
+    LEASE_S,
+    FleetState,
+    GroupState,
+    PrimaryView,
+)
+from citronwood.versions import generation_of, number_after
 
 log = logging.getLogger(__name__)
 
@@ -72,6 +85,7 @@
     holders: NotRequired[dict[str, _HolderRecord]]
     began_at: NotRequired[_PositionRecord]
     newest_commit: NotRequired[_PositionRecord]
+    uncertain: NotRequired[bool]
 
 
 class _StateRecord(TypedDict):
@@ -84,6 +98,7 @@
     secret: str
     groups: dict[str, _GroupRecord]
     absent: dict[str, int]
+    restored: NotRequired[bool]
 
 
 def encode_state(state: FleetState) -> bytes:
@@ -120,6 +135,8 @@
         record["began_at"] = [*group.began_at]
     if group.newest_commit is not None:
         record["newest_commit"] = [*group.newest_commit]
+    if group.uncertain:
+        record["uncertain"] = True
     return record
 
 
@@ -137,6 +154,7 @@
         holders=holders,
         began_at=None if began_at is None else Position(*began_at),
         newest_commit=None if commit is None else Position(*commit),
+        uncertain=record.get("uncertain", False),
     )
 
 
@@ -154,11 +172,15 @@
         secret=record["secret"],
         groups=groups,
         absent=record["absent"],
+        restored=record.get("restored", False),
     )
 
 
-def _with_next_edition(state: FleetState) -> FleetState:
-    return state._replace(edition=state.edition + 1)
+def _to_uncertain(group: GroupState, change: int) -> GroupState:
+    """Return a group whose primary has to be found again, as a change with a number."""
+    return group._replace(
+        changing=True, change=change, newest_commit=None, uncertain=True
+    )
 
 
 class Leadership:
@@ -177,6 +199,9 @@
     share_of_stronger : callable
         Returns the share of the VMs that have more processor time than this one. The
         more there are, the longer this VM waits before it takes over.
+    is_first_start : bool
+        Whether the fleet starts for the first time, so that a missing state was not
+        lost with a restore.
     """
 
     def __init__(
@@ -189,6 +214,7 @@
         on_write: Callable[[FleetState, int], None],
         scale_interval: Callable[[float], float] = lambda interval_s: interval_s,
         share_of_stronger: Callable[[], float] = lambda: 0.0,
+        is_first_start: bool = True,
     ) -> None:
         self._store = store
         self._view = view
@@ -198,7 +224,9 @@
         self._on_write = on_write
         self._scale_interval = scale_interval
         self._share_of_stronger = share_of_stronger
+        self._is_first_start = is_first_start
         self._lease_until = 0.0
+        self._leading_since = now()
         self._renewal_seen_at = now()
         self._newest_version = 0
         self._ended_leader: tuple[str, int] | None = None
@@ -283,34 +311,28 @@
     ) -> FleetState:
         """Change the groups as leader; raises ``NotLeaderError``."""
         async with self._lock:
-            state = self._view.state
-            if not self.is_leader or state is None:
-                raise NotLeaderError("this VM is not the leader")
+            state = self._state_to_change()
             groups = change(dict(state.groups))
-            return await self._write(_with_next_edition(state._replace(groups=groups)))
+            return await self._write_content(state._replace(groups=groups))
 
     async def change_absent_vms(
         self, change: Callable[[dict[str, int]], dict[str, int]]
     ) -> FleetState:
         """Change the list of absent VMs as leader; raises ``NotLeaderError``."""
         async with self._lock:
-            state = self._view.state
-            if not self.is_leader or state is None:
-                raise NotLeaderError("this VM is not the leader")
+            state = self._state_to_change()
             absent = change(dict(state.absent))
-            return await self._write(_with_next_edition(state._replace(absent=absent)))
+            return await self._write_content(state._replace(absent=absent))
 
     async def resign(self) -> None:
         """Give up the leadership, so that another VM can take over at once."""
         self._stopping = True
         async with self._lock:
-            state = self._view.state
-            if state is None or not self.is_leader:
-                return
             try:
-                await self._write(
-                    _with_next_edition(state._replace(leader="", leader_url=""))
-                )
+                state = self._state_to_change()
+                await self._write_content(state._replace(leader="", leader_url=""))
+            except NotLeaderError:
+                return
             except PlatformError as error:
                 log_state(log, "resign", "failed", f"fleet: cannot resign: {error}")
             self._lease_until = 0.0
@@ -323,27 +345,67 @@
             (state.leader, state.leader_process) == (self._name, self._process)
         )
 
+    def _state_to_change(self) -> FleetState:
+        """Return the state that the leader may change; raises ``NotLeaderError``."""
+        state = self._view.state
+        if not self.is_leader or state is None:
+            raise NotLeaderError("this VM is not the leader")
+        if not self._view.is_current:
+            raise NotLeaderError("the store was restored and has no state of this VM")
+        return state
+
     async def _step(self) -> None:
         async with self._lock:
-            state = self._view.state
-            if state is not None and self._is_named_leader and not self._stopping:
-                await self._write(state)
-                return
-            if self.has_leader_contact:
+            if self._is_named_leader and not self._stopping:
+                if await self._renew():
+                    return
+            elif self.has_leader_contact:
                 return
             await self._read()
             await self._take_over_if_needed()
 
+    async def _renew(self) -> bool:
+        """Renew the lease as leader; False if this VM must take over like any other.
+
+        In a store that was restored from a copy, the leader writes its state again
+        while its lease lasts: until then no other VM can have changed the state.
+        """
+        state = self._view.state
+        if state is None:
+            return False
+        if self._view.is_current:
+            try:
+                await self._write(self._without_restored_mark(state))
+            except StoreRestoredError as error:
+                log_state(log, "leader", "store_restored", f"fleet: {error}")
+            else:
+                return True
+        content = self._view.newest_knowledge
+        if content is None or not self.is_leader:
+            return False
+        try:
+            await self._become_leader(
+                content._replace(restored=True), self._view.version
+            )
+        except VersionConflictError:
+            await self._read()
+            raise
+        return True
+
+    def _without_restored_mark(self, state: FleetState) -> FleetState:
+        """Drop the mark of a restore once no lease from before can last."""
+        if not state.restored or now() < self._leading_since + LEASE_S + LEASE_MARGIN_S:
+            return state
+        return state._replace(restored=False, edition=number_after(self._view.version))
+
     async def _read(self) -> None:
         asked_at = now()
         deadline = deadline_in(STORE_CALL_TIMEOUT_S)
         try:
             stored = await self._store.get(STATE_KIND, STATE_NAME, deadline)
-        except ObjectNotFoundError:
-            if self._stopping:
-                return
-            first = FleetState(0, "", "", 0, 0, "", secrets.token_hex(16), {}, {})
-            await self._become_leader(first, 0)
+        except ObjectNotFoundError as error:
+            self._note_version(error.version)
+            self._view.note_missing(error.version)
             return
         self._note_version(stored.version)
         try:
@@ -361,21 +423,38 @@
             self._renewal_seen_at = now()
 
     async def _take_over_if_needed(self) -> None:
-        # Both are taken now, because the view may get a newer state during the sleep.
-        state, version = self._view.state, self._view.version
-        if state is None or self._stopping or self.is_leader:
+        # All are taken now, because the view may get a newer state during the sleep.
+        state, version = self._view.newest_knowledge, self._view.version
+        is_current = self._view.is_current
+        if self._stopping or self.is_leader:
             return
         since_renewal_s = now() - self._renewal_seen_at
-        ended = self._ended_leader == (state.leader, state.leader_process)
-        # This VM is not the leader. If the state names it, for example after a restart,
-        # there is no live leader either.
-        ended = ended or state.leader in ("", self._name)
-        if not ended and since_renewal_s < TAKEOVER_TIMEOUT_S:
-            return
-        await asyncio.sleep(
-            random.uniform(0.0, MAX_TAKEOVER_JITTER_S if not ended else ENDED_JITTER_S)
-            + MAX_WEAKNESS_DELAY_S * self._share_of_stronger()
+        is_first = state is None and self._is_first_start
+        ended = is_first or (is_current and self._has_leader_ended(state))
+        # In a restored store, only the lease of an earlier leader is waited for.
+        timeout_s = (
+            TAKEOVER_TIMEOUT_S if is_current else LEADER_LEASE_S + LEASE_MARGIN_S
         )
+        if not ended and since_renewal_s < timeout_s:
+            return
+        if state is None:
+            secret = secrets.token_hex(16)
+            state = FleetState(0, "", "", 0, 0, "", secret, {}, {})
+            state = state._replace(restored=not self._is_first_start)
+        elif not is_current:
+            change = number_after(version)
+            groups = {
+                name: _to_uncertain(group, change)
+                for name, group in state.groups.items()
+            }
+            state = state._replace(groups=groups, restored=True)
+        if not is_first:
+            await asyncio.sleep(
+                random.uniform(
+                    0.0, MAX_TAKEOVER_JITTER_S if not ended else ENDED_JITTER_S
+                )
+                + MAX_WEAKNESS_DELAY_S * self._share_of_stronger()
+            )
         if self._view.version > version:
             return
         try:
@@ -383,18 +462,32 @@
         except VersionConflictError:
             await self._read()
 
+    def _has_leader_ended(self, state: FleetState | None) -> bool:
+        """Whether the process of the leader that a state names is known to have ended.
+
+        That tells nothing for a state of a copy, which may name an earlier leader.
+        """
+        if state is None:
+            return False
+        # This VM is not the leader. If the state names it, for example after a restart,
+        # there is no live leader either.
+        return state.leader in ("", self._name) or (
+            self._ended_leader == (state.leader, state.leader_process)
+        )
+
     async def _become_leader(self, state: FleetState, version: int) -> None:
         newest_version = self._newest_version
         since_renewal_s = now() - self._renewal_seen_at
-        new = _with_next_edition(
-            state._replace(
-                leader=self._name,
-                leader_url=self._url,
-                leader_process=self._process,
-                fence=state.fence + 1,
-            )
+        number = number_after(version)
+        new = state._replace(
+            edition=number,
+            leader=self._name,
+            leader_url=self._url,
+            leader_process=self._process,
+            fence=number,
         )
         await self._write(new, version)
+        self._leading_since = now()
         log_state(
             log,
             "leader",
@@ -406,8 +499,14 @@
             previous_leader=state.leader,
             previous_fence=state.fence,
             since_renewal_ms=round(since_renewal_s * 1000),
+            restored=new.restored,
         )
 
+    async def _write_content(self, state: FleetState) -> FleetState:
+        """Write a state whose content has changed."""
+        edition = number_after(self._view.version)
+        return await self._write(state._replace(edition=edition))
+
     async def _write(self, state: FleetState, version: int | None = None) -> FleetState:
         """Write the state; a takeover passes the object version that it replaces."""
         expected = self._view.version if version is None else version
@@ -421,6 +520,9 @@
                 expected,
                 deadline_in(STORE_CALL_TIMEOUT_S),
             )
+        except StoreRestoredError:
+            await self._read()
+            raise
         except VersionConflictError:
             if version is None:
                 self._lease_until = 0.0
@@ -433,6 +535,11 @@
             if version is None:
                 await self._read()
             raise
+        if generation_of(written) < generation_of(self._view.version):
+            # The store was restored after it had acknowledged the write.
+            raise StoreRestoredError(
+                STATE_KIND, STATE_NAME, expected, self._view.version
+            )
         self._note_version(written)
         changed = self._view.state is None or new.edition != self._view.state.edition
         self._view.update_state(new, written)
--- a/citronwood/relay/messages.py
+++ b/citronwood/relay/messages.py
@@ -83,9 +83,15 @@
 
 
 class GroupFenced(NamedTuple):
-    """Confirmation that a process does not use the former primary any more."""
+    """Confirmation that a process does not use the former primary any more.
+
+    ``term`` is the newest term of the group that the process knew, and ``primary`` its
+    primary; -1 if it knew none.
+    """
 
     process: int
+    term: int = -1
+    primary: str = ""
 
 
 class AskCommits(NamedTuple):
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -79,13 +79,17 @@
 
 
 class RelayOptions(NamedTuple):
-    """Name, failure domain, address and processor time (in cores) of this VM."""
+    """Name, failure domain, address and processor time (in cores) of this VM.
+
+    ``is_first_start`` is set when the whole fleet starts for the first time.
+    """
 
     name: str
     failure_domain: str
     inner_host: str
     inner_port: int
     processors: float = 1.0
+    is_first_start: bool = True
 
 
 class FeedKinds(NamedTuple):
@@ -143,6 +147,7 @@
             self._broadcast_state,
             self._scale_interval,
             lambda: share_of_stronger(self._peers, options.name),
+            options.is_first_start,
         )
         peers = Feed(VM_KIND, decode_peers, self._apply_peers, read_by_all=False)
         self._peers: tuple[Peer, ...] = ()
@@ -360,7 +365,7 @@
 
     async def _on_fence(self, message: FenceGroup, _: Caller) -> GroupFenced:
         await self._fence(message)
-        return GroupFenced(self._process)
+        return GroupFenced(self._process, *self._view.newest_primary(message.group))
 
     async def _fence(self, order: FenceGroup) -> None:
         """Stop using a group's primary and close the connections to it.
@@ -551,6 +556,12 @@
                 )
         self._servers.replace(self._listed.values())
 
+    def _use_secret_of_fleet(self) -> None:
+        """Use the fleet's secret, which changes if a restored store has no state."""
+        state = self._view.state
+        if state is not None and self._rpc is not None:
+            self._rpc.set_secret(state.secret.encode())
+
     async def _run_maintenance(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
@@ -558,6 +569,7 @@
             self._servers.maintain()
             self._probes.close_idle()
             self._leases.end_unused()
+            self._use_secret_of_fleet()
             self._deputies = choose_deputies(
                 self._peers, self._buckets.lenders - {self._options.name}
             )
--- a/citronwood/relay/registry.py
+++ b/citronwood/relay/registry.py
@@ -23,12 +23,15 @@
 from citronwood.relay.clock import now
 from citronwood.relay.leadership import Leadership
 from citronwood.relay.view import LEASE_S, MAX_LAPSE_S, PrimaryView
+from citronwood.versions import generation_of
 
 log = logging.getLogger(__name__)
 
 VM_KIND = "citronwood-vms"
 STORE_CALL_TIMEOUT_S = 0.8
 RETRY_INTERVAL_S = 0.3
+# Spreads the registrations of all VMs after the store was restored.
+MAX_REGISTRATION_DELAY_S = 0.3
 VM_LIST_INTERVAL_S = 4.0
 # Interval while a VM is marked as absent.
 ABSENT_LIST_INTERVAL_S = 0.6
@@ -52,6 +55,20 @@
     process: int
 
 
+class VmListing(NamedTuple):
+    """Entries of all VMs, and the generation of the store that had them."""
+
+    vms: list[RegisteredVm]
+    generation: int
+
+
+class _Unlisted(NamedTuple):
+    """Why a VM registers again, and whether it may use its lease meanwhile."""
+
+    reason: str
+    keeps_lease: bool
+
+
 class Peer(NamedTuple):
     """Address, failure domain and processor time (in cores) of a VM.
 
@@ -183,10 +200,11 @@
         """
         self._registered = False
         try:
-            if self._entry_version:
+            if self._entry_version and not self._view.is_registration_lost:
                 await self._delete_entry(self._name, self._entry_version)
             else:
-                # A registration whose answer was lost may have taken effect.
+                # A registration whose answer was lost may have taken effect, and a
+                # restored store may have an entry with another version.
                 await self._remove_entry(self._name, self._registration_id)
         except PlatformError as error:
             log_state(log, "unregister", "failed", f"fleet: {error}")
@@ -210,7 +228,7 @@
                 if has_contact and not self._needs_list():
                     await asyncio.sleep(VM_LIST_INTERVAL_S)
                     continue
-                self._vms = await self.list_vms(stale_ok=not is_leader_now)
+                self._vms = (await self.list_vms(stale_ok=not is_leader_now)).vms
                 if not has_contact:
                     self._on_vm_count(max(1, len(self._vms)))
                 if is_leader_now:
@@ -222,7 +240,7 @@
             )
             await asyncio.sleep(interval_s * random.uniform(0.8, 1.0))
 
-    async def list_vms(self, stale_ok: bool = False) -> list[RegisteredVm]:
+    async def list_vms(self, stale_ok: bool = False) -> VmListing:
         """Return the entries of all VMs; ``stale_ok`` permits data seconds old."""
         listing = await self._store.list_objects(
             VM_KIND, deadline_in(STORE_CALL_TIMEOUT_S), stale_ok=stale_ok
@@ -232,7 +250,7 @@
         ]
         if not stale_ok:
             self._vms = vms
-        return vms
+        return VmListing(vms, generation_of(listing.version))
 
     async def register(self) -> None:
         """Keep this VM in the list of those that may use primaries, without end.
@@ -257,23 +275,32 @@
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
             self._registered = True
-            self._view.note_registered(now())
+            self._view.note_registered(now(), generation_of(self._entry_version))
             await self._on_registered()
             log_state(log, "register", "done", "fleet: this VM is registered")
-            reason = await self._wait_until_unlisted()
-            self._view.suspend()
-            log_state(log, "register", "lost", f"fleet: {reason}")
+            unlisted = await self._wait_until_unlisted()
+            log_state(log, "register", "lost", f"fleet: {unlisted.reason}")
+            if unlisted.keeps_lease:
+                await asyncio.sleep(random.uniform(0.0, MAX_REGISTRATION_DELAY_S))
+            else:
+                self._view.suspend()
 
-    async def _wait_until_unlisted(self) -> str:
-        """Wait until the leader may remove this VM's entry; return why it may."""
+    async def _wait_until_unlisted(self) -> _Unlisted:
+        """Wait until this VM's entry may be missing; return why it may."""
         while True:
             state = self._view.state
             if state is not None and (
                 state.absent.get(self._name) == self._registration_id
             ):
-                return "this VM was marked as absent"
+                return _Unlisted("this VM was marked as absent", False)
             if not self._view.is_registered:
-                return "this VM had no lease for so long that it may have been removed"
+                return _Unlisted(
+                    "this VM had no lease for so long that it may have been removed",
+                    False,
+                )
+            if self._view.is_registration_lost:
+                # Changes of primary wait for the leases from before the restore.
+                return _Unlisted("the store was restored from a copy", True)
             await self._view.wait_for_change()
 
     async def _write_entry(self, value: dict[str, Any]) -> int:
@@ -286,12 +313,14 @@
             stored = await self._store.get(
                 VM_KIND, self._name, deadline_in(STORE_CALL_TIMEOUT_S)
             )
-        except ObjectNotFoundError:
-            expected = 0
+        except ObjectNotFoundError as error:
+            expected = error.version
+            has_entry = False
         else:
+            has_entry = True
             expected = stored.version
         if self._has_predecessor is None:
-            self._has_predecessor = expected != 0
+            self._has_predecessor = has_entry
         return await self._store.put(
             VM_KIND, self._name, value, expected, deadline_in(STORE_CALL_TIMEOUT_S)
         )
--- a/citronwood/relay/succession.py
+++ b/citronwood/relay/succession.py
@@ -128,8 +128,26 @@
         finally:
             self._note_awaited(group, [])
 
+    async def newest_term(self, group: str, change: GroupState) -> int:
+        """Return the newest term that any server of an uncertain group knows.
+
+        Servers that do not answer are waited for a while, because one that was promoted
+        after the copy of the store was made may be among them.
+        """
+        newest = change.term
+        give_up_at = now() + OLD_PRIMARY_EXCLUSION_S
+        while True:
+            probed = await self._probe_group(group, _without_step_down(change))
+            newest = max([newest, *(answer.probe.status.term for answer in probed)])
+            is_complete = len(probed) == len(self._servers.of_group(group))
+            if (probed and is_complete) or now() >= give_up_at:
+                return newest
+            await asyncio.sleep(POLL_INTERVAL_S)
+
     async def _promote_lasting(self, group: str, change: GroupState) -> GroupState:
-        promoted = await self._promote_once(group, change, change)
+        # The primary of an uncertain group is kept if it leads the newest term.
+        replaced = _without_step_down(change) if change.uncertain else change
+        promoted = await self._promote_once(group, change, replaced)
         for _ in range(MAX_PROMOTIONS - 1):
             primary, term = promoted.server.id, promoted.probe.status.term
             others = self._servers.others_of_group(group, primary)
@@ -296,7 +314,7 @@
         if first is None or not is_log_kept(
             first.report, change.holders, change.primary
         ):
-            awaited.append(change.primary)
+            awaited.append(change.primary or "the newest primary")
         return awaited
 
     def _note_awaited(self, group: str, servers: list[str]) -> None:
@@ -409,5 +427,13 @@
     return max(primaries, key=lambda each: each.probe.status.term, default=None)
 
 
+def _without_step_down(change: GroupState) -> GroupState:
+    """Return a change that does not replace the primary of the newest known term.
+
+    A primary leads on if it is told to step down for the term that it leads.
+    """
+    return change._replace(term=change.term - 1)
+
+
 def _answer_of(server: str, probed: list[_Answer]) -> _Answer | None:
     return next((answer for answer in probed if answer.server.id == server), None)
--- a/citronwood/relay/view.py
+++ b/citronwood/relay/view.py
@@ -6,6 +6,9 @@
 replaces a primary, it marks the group as changing. It then waits until each VM has
 confirmed that it stopped using the primary, the VM's process is known to have ended, or
 the VM's lease has ended.
+
+A state that was written before the store was restored from a copy is not used, because
+the copy may lack later changes (docs/restored-store.md).
 """
 
 import asyncio
@@ -15,10 +18,13 @@
 from citronwood.relay.clock import now
 from citronwood.relay.holders import Holder
 from citronwood.relay.model import Position
+from citronwood.versions import generation_of
 
 # The lease outlasts short outages of the store, so that callers do not notice them. A
 # change of primary waits up to this long and a margin for a VM that does not answer.
 LEASE_S = 5.0
+# Covers the clock drift between two VMs during one lease.
+LEASE_MARGIN_S = 0.2
 # A VM whose lease ended longer ago than this registers again before it uses a primary,
 # because its entry in the list of VMs may have been removed meanwhile.
 MAX_LAPSE_S = 60.0
@@ -27,7 +33,9 @@
 class GroupState(NamedTuple):
     """Primary of a group; it must not be used while ``changing`` is set.
 
-    ``change`` is the number of the newest change of primary in the group. The other
+    ``change`` is the number of the newest change of primary in the group. With
+    ``uncertain``, the store was restored from a copy, and a later primary may have been
+    lost with it; the group then is changing. The other
     fields are used where replicas acknowledge commits: the records of the servers that
     may hold commits which no other has, the position at which the primary's term began,
     and during a change the newest acknowledged commit, if all VMs have named theirs.
@@ -40,17 +48,20 @@
     holders: dict[str, Holder] = {}
     began_at: Position | None = None
     newest_commit: Position | None = None
+    uncertain: bool = False
 
 
 class FleetState(NamedTuple):
     """State that the leader keeps in the platform's store.
 
-    ``edition`` increases with each change of the content, but not with renewals.
-    ``fence`` is the leader's fencing token, which increases with each new leader.
+    ``edition`` is the number (``citronwood.versions``) of the update that last changed
+    the content; renewals leave it. ``fence`` is the leader's fencing token, the number
+    of the update with which it became leader.
     ``renewal`` is a random value that makes each write of the state unique. ``secret``
     authenticates calls between VMs. ``absent`` maps VMs that have not reported for a
     long time to the ``process`` ids of their entries in the list of VMs; they have to
-    register again before they use a primary.
+    register again before they use a primary. With ``restored``, the store was restored
+    from a copy lately, and VMs that its list lacks may use primaries.
     """
 
     edition: int
@@ -62,6 +73,7 @@
     secret: str
     groups: dict[str, GroupState]
     absent: dict[str, int]
+    restored: bool = False
 
 
 class PrimaryView:
@@ -70,6 +82,10 @@
     def __init__(self) -> None:
         self._state: FleetState | None = None
         self._version = 0
+        # State of an earlier generation that the restored store has.
+        self._restored_state: FleetState | None = None
+        self._newest_primaries: dict[str, tuple[int, str]] = {}
+        self._registered_generation = 0
         self._valid_until = 0.0
         self._registered_at = math.inf
         self._fenced: dict[str, int] = {}
@@ -78,19 +94,46 @@
 
     @property
     def state(self) -> FleetState | None:
-        """Newest known state."""
+        """Newest known state, without one that is only known from a copy."""
         return self._state
 
     @property
     def version(self) -> int:
-        """Version of the store's object that holds the newest known state."""
+        """Newest known version of the store's object with the state."""
         return self._version
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the state was written in the store's newest known generation."""
+        return self._state is not None and (
+            generation_of(self._state.edition) == generation_of(self._version)
+        )
+
+    @property
+    def newest_knowledge(self) -> FleetState | None:
+        """Newest content of the state, also of earlier generations or of a copy."""
+        states = [
+            state for state in (self._state, self._restored_state) if state is not None
+        ]
+        return max(states, key=lambda state: state.edition, default=None)
+
+    @property
+    def _is_lease_allowed(self) -> bool:
+        is_usable = self._state is None or self.is_current
+        return is_usable and (
+            self._registered_generation == generation_of(self._version)
+        )
+
     @property
     def is_registered(self) -> bool:
         """Whether leases are allowed since the last registration of this VM."""
         return self._registered_at < math.inf
 
+    @property
+    def is_registration_lost(self) -> bool:
+        """Whether this VM's entry may be missing in a store that was restored."""
+        return self._registered_generation < generation_of(self._version)
+
     @property
     def is_valid(self) -> bool:
         """Whether the lease on the state has not ended."""
@@ -107,12 +150,24 @@
         return self._valid_until - LEASE_S
 
     def update_state(self, state: FleetState, version: int) -> None:
-        """Replace the known state if this one is newer."""
+        """Replace the known state if this one is newer.
+
+        A state that was last written in an earlier generation of the store only
+        replaces the version.
+        """
         if version <= self._version:
             return
-        self._state = state
         self._version = version
+        if generation_of(state.edition) != generation_of(version):
+            self._restored_state = state
+            self._wake()
+            return
+        self._state = state
+        self._restored_state = None
         for group, named in state.groups.items():
+            known_term, _ = self._newest_primaries.get(group, (-1, ""))
+            if named.term > known_term:
+                self._newest_primaries[group] = (named.term, named.primary)
             if self._change_seen_at.get(group, (0, 0.0))[0] != named.change:
                 self._change_seen_at[group] = (named.change, now())
         for group, change in list(self._fenced.items()):
@@ -124,6 +179,12 @@
                 del self._fenced[group]
         self._wake()
 
+    def note_missing(self, version: int) -> None:
+        """Record that the store has no state; ``version`` is that of a missing one."""
+        if version > self._version:
+            self._version = version
+            self._wake()
+
     def update_holders(self, group: str, holders: dict[str, Holder]) -> None:
         """Set a group's holder records, which the leader's next write will store."""
         if self._state is not None and group in self._state.groups:
@@ -131,12 +192,14 @@
             groups = {**self._state.groups, group: updated}
             self._state = self._state._replace(groups=groups)
 
-    def note_registered(self, at: float) -> None:
+    def note_registered(self, at: float, generation: int = 0) -> None:
         """Allow leases for reads of the state that are sent at ``at`` or later.
 
-        A change of primary that began earlier may not have waited for this VM.
+        A change of primary that began earlier may not have waited for this VM, nor one
+        in another generation of the store than the one that has its entry.
         """
         self._registered_at = at
+        self._registered_generation = generation
 
     def suspend(self) -> None:
         """Stop using primaries until this VM is registered again."""
@@ -146,7 +209,7 @@
 
     def renew_lease(self, asked_at: float) -> None:
         """Extend the lease; the state was current at ``asked_at`` or later."""
-        if asked_at < self._registered_at:
+        if asked_at < self._registered_at or not self._is_lease_allowed:
             return
         if asked_at > max(self._valid_until, self._registered_at) + MAX_LAPSE_S:
             self.suspend()
@@ -187,13 +250,20 @@
             return None
         return group_state.primary
 
+    def newest_primary(self, group: str) -> tuple[int, str]:
+        """Return the newest term that this process knew, and its primary.
+
+        The term is -1 without any.
+        """
+        return self._newest_primaries.get(group, (-1, ""))
+
     def named_primary(self, group: str) -> str | None:
         """Return the server named as primary, whether or not it may be used."""
         group_state = None if self._state is None else self._state.groups.get(group)
         return None if group_state is None else group_state.primary
 
     async def wait_for_change(self) -> None:
-        """Wait for a newer state, a lease after a time without one, or ``suspend``.
+        """Wait for a newer version, a lease after a time without one, or ``suspend``.
 
         The end of a lease does not end the wait.
         """
--- a/citronwood/simulation/world.py
+++ b/citronwood/simulation/world.py
@@ -139,6 +139,7 @@
             promotions=Address(CLOUD_HOST, PLATFORM_PORT),
             grace_s=GRACE_S,
             processors=0.7,
+            is_first_start=self.loop.time() == 0.0,
         )
         context = vm.start()
         self.stopping.discard(vm.name)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -165,6 +165,7 @@
             "platform.address": f"127.0.0.1:{self.store.port}",
             "cloud.address": f"127.0.0.1:{promote_port}",
             "bounds.grace_s": "4",
+            "bootstrap": "true",
         }
         self._path.write_text("".join(f"{k}={v}\n" for k, v in fields.items()))
         self.process = None
