Stop acting as leader before the resignation is written

What callers saw: nothing that was reported; found by the review of the incident. Two VMs could promote with one fencing token, also without a restore of the store, which is what the record shows. Cause: a stopping leader kept its lease until the answer to its resignation arrived. A lease also outlasted any other take-over that had not waited for its end. Change: the lease ends before the resignation is sent, and when another VM is known to lead; promotions carry the token of the VM's own lease; changes of primary that are under way end before the resignation.

--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -33,6 +33,7 @@
 from citronwood.relay.servers import Servers
 from citronwood.relay.succession import RECENT_ANSWER_S, Succession
 from citronwood.relay.view import GroupState, PrimaryView
+from citronwood.tasks import cancel_tasks
 from citronwood.versions import number_after
 
 log = logging.getLogger(__name__)
@@ -94,11 +95,17 @@
         self._last_status_at: dict[str, float] = {}
         self._observations: dict[str, _Observation] = {}
         self._was_leader = False
+        self._stopping = False
+
+    async def stop(self) -> None:
+        """End all changes of primary, which another leader may continue."""
+        self._stopping = True
+        await cancel_tasks(self._tasks.values())
 
     async def run(self) -> None:
         """Monitor all groups until cancelled."""
         while True:
-            if self._leadership.is_leader:
+            if self._leadership.is_leader and not self._stopping:
                 if not self._was_leader:
                     self._last_status_at.clear()
                     self._observations.clear()
--- a/citronwood/relay/leadership.py
+++ b/citronwood/relay/leadership.py
@@ -226,6 +226,7 @@
         self._share_of_stronger = share_of_stronger
         self._is_first_start = is_first_start
         self._lease_until = 0.0
+        self._fence = 0
         self._leading_since = now()
         self._renewal_seen_at = now()
         self._newest_version = 0
@@ -243,7 +244,12 @@
     @property
     def is_leader(self) -> bool:
         """Whether this VM may act as leader now."""
-        return now() < self._lease_until
+        return now() < self._lease_until and self._is_named_leader
+
+    @property
+    def fence(self) -> int:
+        """Fencing token of this VM's lease as leader, whoever leads by now."""
+        return self._fence
 
     @property
     def lease_until(self) -> float:
@@ -328,14 +334,15 @@
         """Give up the leadership, so that another VM can take over at once."""
         self._stopping = True
         async with self._lock:
+            if not self.is_leader:
+                return
             try:
                 state = self._state_to_change()
+                # A successor may act as soon as the store has executed the write.
+                self._lease_until = 0.0
                 await self._write_content(state._replace(leader="", leader_url=""))
-            except NotLeaderError:
-                return
             except PlatformError as error:
                 log_state(log, "resign", "failed", f"fleet: cannot resign: {error}")
-            self._lease_until = 0.0
 
     @property
     def _is_named_leader(self) -> bool:
@@ -544,7 +551,9 @@
         changed = self._view.state is None or new.edition != self._view.state.edition
         self._view.update_state(new, written)
         self._view.renew_lease(asked_at)
-        self._lease_until = asked_at + LEADER_LEASE_S
+        if new.leader == self._name:
+            self._lease_until = asked_at + LEADER_LEASE_S
+            self._fence = new.fence
         if changed:
             self._on_write(new, written)
         return new
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -273,6 +273,8 @@
         # It would register this VM again once the view is suspended.
         await cancel_tasks([self._registration_task])
         self._view.suspend()
+        if self._failover is not None:
+            await self._failover.stop()
         await self._leadership.resign()
         self._servers.close()
         self._probes.close()
--- a/citronwood/relay/succession.py
+++ b/citronwood/relay/succession.py
@@ -367,22 +367,21 @@
         Returns None when the server cannot be promoted or does not report itself as
         primary in time.
         """
-        state = self._view.state
         left_s = self._leadership.lease_until - now() - LEADERSHIP_MARGIN_S
-        if state is None or left_s <= LEADERSHIP_MARGIN_S:
+        if not self._leadership.is_leader or left_s <= LEADERSHIP_MARGIN_S:
             raise NotLeaderError("too little leadership time left to promote")
         log_state(
             log,
             "promote",
             "asked",
             f"group: {group}: asking the platform to promote {server}",
-            fence=state.fence,
+            fence=self._leadership.fence,
             version=self._view.version,
             lease_left_ms=round(left_s * 1000),
         )
         deadline = deadline_in(min(PROMOTE_CALL_TIMEOUT_S, left_s))
         promoted = await self._call_promote(
-            group, server, self._name, state.fence, deadline
+            group, server, self._name, self._leadership.fence, deadline
         )
         if not promoted:
             return None
--- a/tests/test_relay_leadership.py
+++ b/tests/test_relay_leadership.py
@@ -10,6 +10,8 @@
 from citronwood.relay.holders import Holder
 from citronwood.relay.leadership import (
     LEADER_LEASE_S,
+    STATE_KIND,
+    STATE_NAME,
     TAKEOVER_TIMEOUT_S,
     Leadership,
     NotLeaderError,
@@ -18,6 +20,7 @@
 )
 from citronwood.relay.model import Position
 from citronwood.relay.view import GroupState, PrimaryView
+from tests.fleet_helpers import eventually
 from tests.relay_standins import MemoryStore
 
 
@@ -214,3 +217,62 @@
         assert other.view.state.edition == edition
 
     asyncio.run(scenario())
+
+
+class HoldingStore:
+    """Access to a store that executes writes and holds back their answers."""
+
+    def __init__(self, store):
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
+        self._store = store
+
+    async def get(self, *arguments):
+        return await self._store.get(*arguments)
+
+    async def put(self, *arguments):
+        version = await self._store.put(*arguments)
+        await self.may_answer.wait()
+        return version
+
+
+def test_resigning_leader_does_not_act_beside_its_successor(clock):
+    # Guards against two holders of one token: the successor takes over as soon as the
+    # resignation is executed, while its answer is on its way.
+    async def scenario():
+        store = MemoryStore()
+        held = HoldingStore(store)
+        first, second = Vm(held, "a"), Vm(store, "b")
+        await first.step()
+        await second.step()
+        held.may_answer.clear()
+        resignation = asyncio.create_task(first.leadership.resign())
+        await eventually(
+            lambda: store.objects[STATE_KIND][STATE_NAME].value["leader"] == ""
+        )
+        assert not first.leadership.is_leader
+        await second.step()
+        assert second.leadership.is_leader
+        first.view.update_state(second.view.state, second.view.version)
+        assert not first.leadership.is_leader
+        assert first.leadership.fence != second.leadership.fence
+        held.may_answer.set()
+        await resignation
+        assert not first.leadership.is_leader
+
+    asyncio.run(scenario())
+
+
+def test_leader_does_not_act_once_another_one_is_known(clock):
+    # Guards against a lease that outlasts a take-over which did not wait for its end.
+    async def scenario():
+        store = MemoryStore()
+        first, second = Vm(store, "a"), Vm(store, "b")
+        await first.step()
+        await second.step()
+        second.leadership.note_leader_ended("a", 1)
+        await second.step()
+        first.view.update_state(second.view.state, second.view.version)
+        assert not first.leadership.is_leader
+
+    asyncio.run(scenario())
