Take over the version of a restored store also with the same content

What callers saw: nothing that was reported; found by the review. After a restore, a VM that had not heard of the newest configuration or servers could keep those of the copy until the next change of their content. Cause: a VM that had read the copy had a version of the new generation. The leader found the content that it knew, written again, and kept the version of the earlier generation, so that the other VM counted itself up to date. Change: a feed also takes over the version of another generation. Measured: the new test failed before (version 7 was kept) and passes now.

--- a/citronwood/relay/feeds.py
+++ b/citronwood/relay/feeds.py
@@ -17,6 +17,7 @@
 from citronwood.errors import MessageError
 from citronwood.platform.api import Listing, ObjectStore, VersionedObject
 from citronwood.relay.clock import now
+from citronwood.versions import generation_of
 
 log = logging.getLogger(__name__)
 
@@ -126,13 +127,16 @@
                 f"platform: objects of kind {self.kind} are not usable",
             )
             return
-        if content == self._content:
+        is_restored = generation_of(listing.version) != generation_of(self._version)
+        if content == self._content and not is_restored:
             return
+        # Also for the same content: VMs that have read the copy have another one.
         self._version = listing.version
-        self._content = content
         self._objects = listing.objects
         self._encoded = None
-        self._on_content(content)
+        if content != self._content:
+            self._content = content
+            self._on_content(content)
 
 
 def _without_unencodable(values: _Values) -> _Values:
--- a/tests/test_relay_feeds.py
+++ b/tests/test_relay_feeds.py
@@ -174,3 +174,27 @@
         assert values == {"good": {"version": 1}, "deep": {}}
 
     asyncio.run(scenario())
+
+
+def test_content_of_a_copy_is_replaced_once_it_is_written_again():
+    # Guards against a VM that read the copy of a restored store and is told for ever
+    # that it is up to date, because the leader's content never changed.
+    async def scenario():
+        store = MemoryStore()
+        leader, other = (
+            Feed(KIND, lambda listing: listing.objects["main"].value, lambda _: None)
+            for _ in range(2)
+        )
+        store.put_directly(KIND, "main", {"version": 7})
+        copy = store.copy()
+        store.put_directly(KIND, "main", {"version": 8})
+        await leader.poll(store, 0.0)
+        store.restore(copy)
+        store.put_directly(KIND, "main", {"version": 7})
+        await other.poll(store, 0.0)
+        store.put_directly(KIND, "main", {"version": 8})
+        await leader.poll(store, 0.0)
+        other.receive(leader.version, leader.encode())
+        assert other._content == leader._content == {"version": 8}
+
+    asyncio.run(scenario())
