Believe only the newest content of the state, also after late updates

What callers saw: nothing that was reported; found by the review of the fix. Cause: after an update of an earlier generation that a restored store had executed late, a VM took the older state in its memory for confirmed, used its primary and could take over from it. A leader whose first write in a generation had lost its answer dropped the mark of a restore at once, one that went on changed its token while promotions were under way, and one whose lease had ended wrote before it read. Change: the state is current only if the content at the newest known version was written in its generation. The mark is kept from the moment at which a state of the generation was first known. A leader goes on with its token, reads first once its lease has ended, and writes again after a late update. VMs that know of a state take over before those that don't.

--- a/citronwood/relay/leadership.py
+++ b/citronwood/relay/leadership.py
@@ -106,6 +106,19 @@
     return msgspec.json.encode(_to_record(state))
 
 
+def encode_group(group: GroupState) -> bytes:
+    """Encode the state of a group to send it to another VM."""
+    return msgspec.json.encode(_to_group_record(group))
+
+
+def decode_group(data: bytes) -> GroupState:
+    """Decode the state of a group sent by another VM; raises ``MessageError``."""
+    try:
+        return _from_group_record(msgspec.json.decode(data, type=_GroupRecord))
+    except msgspec.DecodeError as error:
+        raise MessageError("malformed", str(error)) from None
+
+
 def decode_state(data: bytes) -> FleetState:
     """Decode a state sent by another VM; raises ``MessageError``."""
     try:
@@ -227,7 +240,6 @@
         self._is_first_start = is_first_start
         self._lease_until = 0.0
         self._fence = 0
-        self._leading_since = now()
         self._renewal_seen_at = now()
         self._newest_version = 0
         self._ended_leader: tuple[str, int] | None = None
@@ -377,31 +389,60 @@
         In a store that was restored from a copy, the leader writes its state again
         while its lease lasts: until then no other VM can have changed the state.
         """
+        if not self.is_leader:
+            # Another VM may have taken over.
+            await self._read()
         state = self._view.state
-        if state is None:
+        if state is None or not self._is_named_leader:
             return False
         if self._view.is_current:
             try:
                 await self._write(self._without_restored_mark(state))
-            except StoreRestoredError as error:
+            except VersionConflictError as error:
+                if self._view.is_current:
+                    raise
                 log_state(log, "leader", "store_restored", f"fleet: {error}")
             else:
                 return True
-        content = self._view.newest_knowledge
-        if content is None or not self.is_leader:
+        if not self.is_leader:
             return False
+        await self._continue_leading()
+        return True
+
+    async def _continue_leading(self) -> None:
+        """Write the state as leader to a store that was restored from a copy.
+
+        The fencing token stays, because no other VM can have taken one since.
+        """
+        content, version = self._view.newest_knowledge, self._view.version
+        if content is None:
+            return
+        new = content._replace(
+            edition=number_after(version),
+            leader=self._name,
+            leader_url=self._url,
+            leader_process=self._process,
+            fence=self._fence,
+            restored=True,
+        )
         try:
-            await self._become_leader(
-                content._replace(restored=True), self._view.version
-            )
+            await self._write(new, version)
         except VersionConflictError:
             await self._read()
             raise
-        return True
+        log_state(
+            log,
+            "leader",
+            "continued",
+            "fleet: this VM goes on as leader after a restore of the store",
+            fence=new.fence,
+            version=version,
+        )
 
     def _without_restored_mark(self, state: FleetState) -> FleetState:
         """Drop the mark of a restore once no lease from before can last."""
-        if not state.restored or now() < self._leading_since + LEASE_S + LEASE_MARGIN_S:
+        lease_end = self._view.current_since + LEASE_S + LEASE_MARGIN_S
+        if not state.restored or now() < lease_end:
             return state
         return state._replace(restored=False, edition=number_after(self._view.version))
 
@@ -438,10 +479,11 @@
         since_renewal_s = now() - self._renewal_seen_at
         is_first = state is None and self._is_first_start
         ended = is_first or (is_current and self._has_leader_ended(state))
-        # In a restored store, only the lease of an earlier leader is waited for.
-        timeout_s = (
-            TAKEOVER_TIMEOUT_S if is_current else LEADER_LEASE_S + LEASE_MARGIN_S
-        )
+        # In a restored store, only the lease of an earlier leader is waited for. VMs
+        # that know of a state go before those that don't.
+        timeout_s = TAKEOVER_TIMEOUT_S
+        if state is not None and not is_current:
+            timeout_s = LEADER_LEASE_S + LEASE_MARGIN_S
         if not ended and since_renewal_s < timeout_s:
             return
         if state is None:
@@ -494,7 +536,6 @@
             fence=number,
         )
         await self._write(new, version)
-        self._leading_since = now()
         log_state(
             log,
             "leader",
@@ -531,12 +572,16 @@
             await self._read()
             raise
         except VersionConflictError:
-            if version is None:
-                self._lease_until = 0.0
-                log_state(log, "leader", "lost", "fleet: another VM is the leader now")
-                await self._read()
-                raise NotLeaderError("another VM is the leader now") from None
-            raise
+            if version is not None:
+                raise
+            lease_until, self._lease_until = self._lease_until, 0.0
+            await self._read()
+            if not self._view.is_current:
+                # The store executed an update of an earlier generation.
+                self._lease_until = lease_until
+                raise
+            log_state(log, "leader", "lost", "fleet: another VM is the leader now")
+            raise NotLeaderError("another VM is the leader now") from None
         except PlatformUnavailableError:
             # The write may have been applied or may still be; read the store to see.
             if version is None:
--- a/citronwood/relay/view.py
+++ b/citronwood/relay/view.py
@@ -82,9 +82,13 @@
     def __init__(self) -> None:
         self._state: FleetState | None = None
         self._version = 0
-        # State of an earlier generation that the restored store has.
+        # Whether the content at the newest known version was written in its generation.
+        self._is_current = False
+        self._current_since = math.inf
+        # Content at the newest known version if it is of an earlier generation.
         self._restored_state: FleetState | None = None
-        self._newest_primaries: dict[str, tuple[int, str]] = {}
+        # By group, its state in the newest term that this process has known.
+        self._newest_groups: dict[str, GroupState] = {}
         self._registered_generation = 0
         self._valid_until = 0.0
         self._registered_at = math.inf
@@ -104,10 +108,20 @@
 
     @property
     def is_current(self) -> bool:
-        """Whether the state was written in the store's newest known generation."""
-        return self._state is not None and (
-            generation_of(self._state.edition) == generation_of(self._version)
-        )
+        """Whether the state is that of the newest known version.
+
+        After a restore the store may have the content of an earlier generation, from
+        the copy or by an update that was executed late.
+        """
+        return self._is_current
+
+    @property
+    def current_since(self) -> float:
+        """Time at which the first state of the newest generation was known.
+
+        Leases on states of earlier generations began before that.
+        """
+        return self._current_since
 
     @property
     def newest_knowledge(self) -> FleetState | None:
@@ -158,16 +172,20 @@
         if version <= self._version:
             return
         self._version = version
-        if generation_of(state.edition) != generation_of(version):
+        generation = generation_of(version)
+        self._is_current = generation_of(state.edition) == generation
+        if not self._is_current:
             self._restored_state = state
             self._wake()
             return
+        if self._state is None or generation_of(self._state.edition) != generation:
+            self._current_since = now()
         self._state = state
         self._restored_state = None
         for group, named in state.groups.items():
-            known_term, _ = self._newest_primaries.get(group, (-1, ""))
-            if named.term > known_term:
-                self._newest_primaries[group] = (named.term, named.primary)
+            newest = self._newest_groups.get(group)
+            if newest is None or named.term >= newest.term:
+                self._newest_groups[group] = named
             if self._change_seen_at.get(group, (0, 0.0))[0] != named.change:
                 self._change_seen_at[group] = (named.change, now())
         for group, change in list(self._fenced.items()):
@@ -183,6 +201,8 @@
         """Record that the store has no state; ``version`` is that of a missing one."""
         if version > self._version:
             self._version = version
+            self._is_current = False
+            self._restored_state = None
             self._wake()
 
     def update_holders(self, group: str, holders: dict[str, Holder]) -> None:
@@ -250,12 +270,9 @@
             return None
         return group_state.primary
 
-    def newest_primary(self, group: str) -> tuple[int, str]:
-        """Return the newest term that this process knew, and its primary.
-
-        The term is -1 without any.
-        """
-        return self._newest_primaries.get(group, (-1, ""))
+    def newest_group(self, group: str) -> GroupState | None:
+        """Return a group's state in the newest term that this process has known."""
+        return self._newest_groups.get(group)
 
     def named_primary(self, group: str) -> str | None:
         """Return the server named as primary, whether or not it may be used."""
--- a/tests/test_relay_leadership.py
+++ b/tests/test_relay_leadership.py
@@ -276,3 +276,119 @@
         assert not first.leadership.is_leader
 
     asyncio.run(scenario())
+
+
+async def restored(clock, *names):
+    """Return a store after a restore, and VMs that knew it before; the first led."""
+    store = MemoryStore()
+    vms = [Vm(store, name) for name in names]
+    for vm in vms:
+        await vm.step()
+    clock[0] += 60.0
+    for vm in vms:
+        await vm.step()
+    store.restore(store.copy())
+    clock[0] += 1.0
+    return store, vms
+
+
+def test_mark_of_a_restore_lasts_although_an_answer_was_lost(clock):
+    # Guards against a change of primary that does not wait for the leases from before
+    # the restore, because the leader had counted from its first take-over.
+    async def scenario():
+        store, (vm,) = await restored(clock, "a")
+        store.answers_to_lose = 1
+        await vm.step()
+        while not vm.view.is_current:
+            await vm.step()
+        since = clock[0]
+        while vm.view.state.restored:
+            clock[0] += 0.3
+            await vm.step()
+        assert clock[0] >= since + view_module.LEASE_S + view_module.LEASE_MARGIN_S
+
+    asyncio.run(scenario())
+
+
+def test_leader_continues_with_its_token_after_a_restore(clock):
+    # Guards against a promotion with a lower token that arrives after one with a new.
+    async def scenario():
+        _, (vm, other) = await restored(clock, "a", "b")
+        fence = vm.leadership.fence
+        await vm.step()
+        assert vm.leadership.is_leader
+        assert vm.view.is_current
+        assert vm.leadership.fence == vm.view.state.fence == fence
+        vm.leadership._stopping = True
+        clock[0] += TAKEOVER_TIMEOUT_S + 1
+        await other.step()
+        clock[0] += TAKEOVER_TIMEOUT_S
+        await other.step()
+        assert other.leadership.fence > fence
+
+    asyncio.run(scenario())
+
+
+def test_leader_does_not_replace_the_state_of_one_that_followed_a_restore(clock):
+    # Guards against a leader that takes the state of another one for its own.
+    async def scenario():
+        store = MemoryStore()
+        empty = store.copy()
+        first, second = Vm(store, "a"), Vm(store, "b")
+        await first.step()
+        store.restore(empty)
+        await second.step()
+        await first.step()
+        await first.step()
+        assert not first.leadership.is_leader
+        assert first.view.state.leader == "b"
+
+    asyncio.run(scenario())
+
+
+def test_late_update_of_an_earlier_generation_confirms_no_state(clock):
+    # Guards against a lease on, and a take-over from, a state that is not the newest:
+    # the revision in the condition of the late update was given out again.
+    async def scenario():
+        store = MemoryStore()
+        leader = Vm(store, "a")
+        await leader.step()
+        old_content = store.objects[STATE_KIND][STATE_NAME].value
+        store.restore(store.copy())
+        await leader.step()
+        other = Vm(store, "b")
+        other.view.note_registered(clock[0], 1)
+        await leader.leadership.change_groups(
+            lambda _: {"g": GroupState("x", 3, False, 1)}
+        )
+        await other.step()
+        # The other VM misses this change.
+        await leader.leadership.change_groups(
+            lambda _: {"g": GroupState("y", 4, False, 2)}
+        )
+        store.put_directly(STATE_KIND, STATE_NAME, old_content)
+        lease_end = other.view.valid_until
+        clock[0] += 1.0
+        other.leadership.note_leader_ended("a", 1)
+        await other.step()
+        assert other.view.valid_until == lease_end
+        assert not other.leadership.is_leader
+        clock[0] += TAKEOVER_TIMEOUT_S
+        await other.step()
+        assert other.leadership.is_leader
+        assert other.view.state.groups["g"].uncertain
+
+    asyncio.run(scenario())
+
+
+def test_leader_goes_on_after_a_late_update_of_an_earlier_generation(clock):
+    async def scenario():
+        store, (vm,) = await restored(clock, "a")
+        old_content = store.objects[STATE_KIND][STATE_NAME].value
+        await vm.step()
+        store.put_directly(STATE_KIND, STATE_NAME, old_content)
+        await vm.step()
+        assert vm.leadership.is_leader
+        assert vm.view.is_current
+
+    asyncio.run(scenario())
