Restore the store from a copy in the randomized soak

Users restored the platform's store from copies some seconds old, and two leaders used one fencing token. The soak had no such fault. It now keeps copies of the stand-in's store, lets the store be away for 0.2 to 3 s (refusing, cut or silent) and restores it from a copy 0.5 to 8 s old, at times twice in a row. The operator and the servers write again at once or up to 2 s later.

The check of writes at an old primary covered only the last acknowledged write of each item; it now covers every acknowledged one. Recovery is checked for all VMs at the same time, so that the bound of 12 s holds for all of them instead of for one after another. The number of VMs is an option, and a log of the faults is kept beside the VMs' logs.

--- a/tests/relay_standins.py
+++ b/tests/relay_standins.py
@@ -105,8 +105,11 @@
         objects = {kind: dict(stored) for kind, stored in self.objects.items()}
         return StoreCopy(self.version, objects)
 
-    def restore(self, copy):
-        """Go back to a copy; the operator and the servers then write again."""
+    def restore(self, copy, writes_again=True):
+        """Go back to a copy; the operator and the servers then write again.
+
+        Without ``writes_again``, the caller writes their objects later.
+        """
         lost = {kind: self.objects.get(kind, {}) for kind in FOREIGN_KINDS}
         generation = self.generation + 1
         first = generation * GENERATION_SPAN
@@ -120,7 +123,7 @@
             }
             for kind, objects in copy.objects.items()
         }
-        for kind, objects in lost.items():
+        for kind, objects in lost.items() if writes_again else ():
             for name, stored in objects.items():
                 self.put_directly(kind, name, stored.value)
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,8 +3,9 @@
 ``python -m tests.soak --seed 7 --seconds 30`` starts VMs as processes, with stand-ins
 for the store and the backend servers. Proxies delay, reset, cut and freeze connections
 or drop their data. Signals pause, reload, stop and kill the VMs, and ended VMs are
-restarted. Keys and primaries change meanwhile. The run checks what callers and backend
-servers observe, and exits with 1 if a guarantee was violated.
+restarted. The store is restored from copies some seconds old. Keys and primaries change
+meanwhile. The run checks what callers and backend servers observe, and exits with 1 if
+a guarantee was violated.
 
 Not covered: clocks that jump, and connections between VMs that fail while both
 processes run.
@@ -19,6 +20,9 @@
 import sys
 import tempfile
 import time
+import weakref
+from collections import deque
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import NamedTuple
 
@@ -50,6 +54,13 @@
 # Mean time between the starts of two faults, and the range of a fault's duration.
 MEAN_FAULT_INTERVAL_S = 0.8
 FAULT_DURATION_RANGE_S = (0.2, 4.0)
+# Restores of the store: how long it is away, and the age of its copy.
+OUTAGE_RANGE_S = (0.2, 3.0)
+COPY_AGE_RANGE_S = (0.5, 8.0)
+COPY_INTERVAL_S = 0.25
+REPEAT_PROBABILITY = 0.3
+# Time after which the operator and the servers have written again.
+MAX_WRITE_AGAIN_S = 2.0
 
 
 class SoakServer(TextProtocolServer):
@@ -96,7 +107,7 @@
         else:
             self.fork_data[item] = value
             self.fork_number += 1
-            self.group.fork_writes.append(value)
+            self.group.fork_writes.append((value, time.monotonic()))
 
     def become_replica(self):
         """Become a replica, as an old primary does once it reaches the new one."""
@@ -111,7 +122,7 @@
         super().__init__(name)
         self.servers = [SoakServer(self, f"{name}-{suffix}") for suffix in range(3)]
         self.servers[0].is_primary = True
-        # Values written at an old primary after another server was promoted.
+        # Values written at an old primary after another server was promoted, and when.
         self.fork_writes = []
         self.proxies = {}
         # (holder, fencing token) of all calls to promote, in their order.
@@ -119,9 +130,15 @@
 
     def register(self, store):
         for server in self.servers:
-            proxy = self.proxies.setdefault(server.id, FaultProxy(server.port))
-            entry = {**server.entry(), "address": f"127.0.0.1:{proxy.port}"}
-            store.put_directly("servers", server.id, entry)
+            if server.id not in self.proxies:
+                self.proxies[server.id] = FaultProxy(server.port)
+            self.write_entry(server, store)
+
+    def write_entry(self, server, store):
+        """Write a server's entry with its present state."""
+        address = f"127.0.0.1:{self.proxies[server.id].port}"
+        entry = {**server.entry(), "address": address}
+        store.put_directly("servers", server.id, entry)
 
     async def on_promote(self, request):
         """Promote a server; stands in for the platform's call."""
@@ -197,11 +214,12 @@
 
 
 class AcknowledgedWrite(NamedTuple):
-    """Write that was acknowledged to ``session`` at the time ``at``."""
+    """Write that ``vm`` acknowledged to ``session`` at the time ``at``."""
 
     value: str
     at: float
     session: Caller
+    vm: str
 
     def must_be_visible(self, session, database):
         """Whether a read of a session must return this write or a later one.
@@ -217,11 +235,16 @@
 class Soak:
     """One run of the soak test."""
 
-    def __init__(self, seed, folder):
+    def __init__(self, seed, folder, vm_count=VMS):
         self.random = random.Random(seed)
         self.folder = Path(folder)
         self.group = SoakGroup("orders")
+        self.vm_count = vm_count
         self.vms = []
+        # Copies of the store, with the times at which they were made.
+        self.copies = deque()
+        # Number of restores during which the store is away now.
+        self.outages = 0
         self.reserved_vms = set()
         self.keys = [KEY, OTHER_KEY]
         self.version = 1
@@ -229,6 +252,10 @@
         # acknowledged write.
         self.sent = {}
         self.acknowledged = {}
+        # By value: all acknowledged writes.
+        self.acknowledged_values = {}
+        # By session: the VM to which it is connected.
+        self.vm_names = weakref.WeakKeyDictionary()
         self.refused = []
         self.violations = []
         self.faults = []
@@ -236,10 +263,17 @@
 
     def add_violation(self, text):
         self.violations.append(f"{time.monotonic():.2f} {text}")
+        self.note_event(f"BROKEN {text}")
+
+    def note_event(self, text):
+        """Write a line to the log of the run, to be read beside the VMs' logs."""
+        with (self.folder / "soak.log").open("a") as log:
+            utc = datetime.now(UTC).isoformat(timespec="milliseconds")
+            log.write(f"{utc} {time.monotonic():.2f} {text}\n")
 
     async def run(self, seconds):
         application = web.Application()
-        application.router.add_post("/promote", self.group.on_promote)
+        application.router.add_post("/promote", self._on_promote)
         runner = web.AppRunner(application, shutdown_timeout=0.1)
         await runner.setup()
         site = web.TCPSite(runner, "127.0.0.1", 0)
@@ -250,7 +284,11 @@
             self._configure()
             self.group.register(server.store)
             port = int(server.address.split(":")[1])
-            self.vms = [Vm(n, self.folder, port, promote_port) for n in range(VMS)]
+            self.vms = [
+                Vm(number, self.folder, port, promote_port)
+                for number in range(self.vm_count)
+            ]
+            copies = asyncio.create_task(self._make_copies())
             try:
                 for vm in self.vms:
                     vm.start()
@@ -260,12 +298,20 @@
                 await self._check_withdrawn_key()
                 self._check_results()
             finally:
+                copies.cancel()
                 for vm in self.vms:
                     vm.close()
                 for proxy in self.group.proxies.values():
                     proxy.close()
         await runner.cleanup()
 
+    async def _on_promote(self, request):
+        response = await self.group.on_promote(request)
+        holder, token = self.group.promotions[-1]
+        body = await request.json()
+        self.note_event(f"{holder} promotes {body['id']} with token {token}")
+        return response
+
     def _configure(self):
         spec = configuration(version=self.version, keys=self.keys)
         primary = {**spec["routes"][0], "name": "r2", "host": "desk", "kind": "primary"}
@@ -292,10 +338,12 @@
     async def _run_fault(self):
         kinds = [self._pause, self._kill, self._stop, self._hang_up, self._cut_store,
                  self._lose_store_answers, self._harm_server, self._drain,
-                 self._change_keys]  # fmt: skip
+                 self._change_keys, self._restore_store,
+                 self._restore_store]  # fmt: skip
         kind = self.random.choice(kinds)
         duration_s = self.random.uniform(*FAULT_DURATION_RANGE_S)
         self.faults.append(kind.__name__)
+        self.note_event(f"{kind.__name__} for {duration_s:.2f} s")
         await kind(duration_s)
 
     def _reserve_vm(self):
@@ -305,6 +353,7 @@
             return None
         vm = self.random.choice(available)
         self.reserved_vms.add(vm)
+        self.note_event(f"{vm.name} is paused or ended")
         return vm
 
     async def _pause(self, duration_s):
@@ -313,6 +362,7 @@
             vm.signal(signal.SIGSTOP)
             await asyncio.sleep(duration_s)
             vm.signal(signal.SIGCONT)
+            self.note_event(f"{vm.name} goes on")
             self.reserved_vms.discard(vm)
 
     async def _kill(self, duration_s):
@@ -332,11 +382,13 @@
             self.add_violation(f"{vm.host} ended with code {code}")
         await asyncio.sleep(duration_s / 4)
         vm.start()
+        self.note_event(f"{vm.name} is started again")
         self.reserved_vms.discard(vm)
 
     async def _hang_up(self, duration_s):
         vm = self.random.choice(self.vms)
         vm.signal(signal.SIGHUP)
+        self.note_event(f"{vm.name} reloads")
         if vm in self.reserved_vms:
             return
         # The signal ends a process whose interpreter is still starting. A process that
@@ -348,17 +400,19 @@
             vm.start()
 
     async def _cut_store(self, duration_s):
-        affected = self.random.sample(self.vms, self.random.randint(1, VMS))
+        affected = self.random.sample(self.vms, self.random.randint(1, len(self.vms)))
+        self.note_event(f"store of {[vm.name for vm in affected]} is disrupted")
         await self._disrupt([vm.store for vm in affected], duration_s)
 
     async def _harm_server(self, duration_s):
-        await self._disrupt(
-            [self.random.choice([*self.group.proxies.values()])], duration_s
-        )
+        server, proxy = self.random.choice([*self.group.proxies.items()])
+        self.note_event(f"connections to {server} are disrupted")
+        await self._disrupt([proxy], duration_s)
 
     async def _disrupt(self, proxies, duration_s):
         fault = self.random.choice(("cut", "freeze", "drop", "delay", "reset"))
         direction = self.random.choice(BOTH)
+        self.note_event(f"{fault}, {direction} if dropped")
         for proxy in proxies:
             if fault == "drop":
                 proxy.drop(direction)
@@ -372,6 +426,7 @@
         for proxy in proxies:
             # Frozen or delayed bytes may still be delivered, dropped ones are lost.
             proxy.heal()
+        self.note_event(f"{fault} has ended")
 
     async def _lose_store_answers(self, duration_s):
         self.store.answers_to_lose += self.random.randint(1, 3)
@@ -380,19 +435,61 @@
         server = next(
             (backend for backend in self.group.servers if backend.is_primary), None
         )
-        if server is None:
+        if server is None or server.is_draining:
             return
-        store = self.store.store
-        entry = store.objects["servers"][server.id].value
-        store.put_directly("servers", server.id, {**entry, "state": "draining"})
+        server.is_draining = True
+        self.group.write_entry(server, self.store.store)
         await asyncio.sleep(duration_s)
-        store.put_directly("servers", server.id, entry)
+        server.is_draining = False
+        self.group.write_entry(server, self.store.store)
 
     async def _change_keys(self, duration_s):
         self.version += 1
         self.keys = [KEY] if OTHER_KEY in self.keys else [KEY, OTHER_KEY]
         self._configure()
 
+    async def _make_copies(self):
+        while True:
+            made_at = time.monotonic()
+            self.copies.append((made_at, self.store.store.copy()))
+            while self.copies[0][0] < made_at - COPY_AGE_RANGE_S[1]:
+                self.copies.popleft()
+            await asyncio.sleep(COPY_INTERVAL_S)
+
+    async def _restore_store(self, duration_s):
+        """Let the store be away and come back from a copy, at times twice in a row."""
+        while True:
+            age_s = self.random.uniform(*COPY_AGE_RANGE_S)
+            wanted_at = time.monotonic() - age_s
+            copy = next(
+                (copy for at, copy in reversed(self.copies) if at <= wanted_at),
+                self.copies[0][1],
+            )
+            self.outages += 1
+            self.store.store.unavailable = True
+            fault = self.random.choice((None, "cut", "freeze"))
+            self.note_event(f"store is away, {fault}, copy at least {age_s:.1f} s old")
+            proxies = [vm.store for vm in self.vms] if fault else []
+            for proxy in proxies:
+                getattr(proxy, fault)()
+            await asyncio.sleep(self.random.uniform(*OUTAGE_RANGE_S))
+            write_again_s = self.random.choice((0, MAX_WRITE_AGAIN_S))
+            self.store.store.restore(copy, writes_again=not write_again_s)
+            self.note_event(
+                f"store is back in generation {self.store.store.generation}"
+            )
+            self.outages -= 1
+            self.store.store.unavailable = self.outages > 0
+            for proxy in proxies:
+                proxy.heal()
+            if write_again_s:
+                await asyncio.sleep(self.random.uniform(0, write_again_s))
+                self._configure()
+                self.group.register(self.store.store)
+            if self.random.random() > REPEAT_PROBABILITY:
+                return
+            self.faults.append(self._restore_store.__name__)
+
     # Callers.
 
     async def _run_caller(self, number, stop):
@@ -403,6 +500,7 @@
             try:
                 async with asyncio.timeout(ANSWER_TIMEOUT_S):
                     caller = await Caller.connect(vm.port, database, KEY, vm.host)
+                self.vm_names[caller] = vm.name
             except (OSError, asyncio.IncompleteReadError, TimeoutError):
                 await asyncio.sleep(0.1)
                 continue
@@ -465,7 +563,9 @@
 
     def _record_outcome(self, caller, item, value, line):
         if line.startswith("DONE"):
-            self.acknowledged[item] = AcknowledgedWrite(value, time.monotonic(), caller)
+            at = time.monotonic()
+            write = AcknowledgedWrite(value, at, caller, self.vm_names[caller])
+            self.acknowledged[item] = self.acknowledged_values[value] = write
             self.counts["ok"] += 1
         elif line.split(" ")[1] in NO_EFFECT_CODES:
             self.refused.append(value)
@@ -477,13 +577,17 @@
 
     async def _check_recovery(self, when):
         """Check that every VM serves a write within the time for recovery."""
-        for vm in self.vms:
-            end = time.monotonic() + RECOVERY_TIMEOUT_S
-            while not await self._serves_write(vm, KEY, f"{when}-{vm.host}"):
-                if time.monotonic() > end:
-                    self.add_violation(f"{vm.host} does not serve at the {when}")
-                    break
-                await asyncio.sleep(0.1)
+        end = time.monotonic() + RECOVERY_TIMEOUT_S
+        await asyncio.gather(
+            *(self._check_vm_recovery(vm, when, end) for vm in self.vms)
+        )
+
+    async def _check_vm_recovery(self, vm, when, end):
+        while not await self._serves_write(vm, KEY, f"{when}-{vm.host}"):
+            if time.monotonic() > end:
+                self.add_violation(f"{vm.name} does not serve at the {when}")
+                return
+            await asyncio.sleep(0.1)
 
     async def _serves_write(self, vm, key, value):
         try:
@@ -505,7 +609,7 @@
 
     def _check_results(self):
         written = [value for _, value in self.group.writes]
-        stored, diverged = set(written), set(self.group.fork_writes)
+        stored, diverged = set(written), dict(self.group.fork_writes)
         sent = {value for values in self.sent.values() for value in values}
         for value in sorted(stored):
             probe = value.startswith(("start-", "end-", "withdrawn"))
@@ -513,11 +617,13 @@
                 self.add_violation(f"{value} was written twice")
             if not probe and value not in sent:
                 self.add_violation(f"{value} was written but not sent")
-        for item, (value, *_) in self.acknowledged.items():
+        for value, write in self.acknowledged_values.items():
             if value not in stored:
-                where = " at an old primary" if value in diverged else ""
+                at = diverged.get(value)
+                where = "" if at is None else f", written at an old primary at {at:.2f}"
                 self.add_violation(
-                    f"{item}: {value} was acknowledged{where} and is lost"
+                    f"{value} was acknowledged by {write.vm} at {write.at:.2f} and is "
+                    f"lost{where}"
                 )
         for value in self.refused:
             if value in stored:
@@ -533,9 +639,9 @@
             self.add_violation("a key was passed on to a backend server")
 
 
-def run_soak(seed, seconds, folder):
+def run_soak(seed, seconds, folder, vm_count=VMS):
     """Return a finished run; it has no violations if all guarantees were kept."""
-    soak = Soak(seed, folder)
+    soak = Soak(seed, folder, vm_count)
     asyncio.run(soak.run(seconds))
     return soak
 
@@ -544,6 +650,7 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seed", type=int, default=None, help="default: a fresh one")
     parser.add_argument("--seconds", type=float, default=20.0, help="time with faults")
+    parser.add_argument("--vms", type=int, default=VMS, help="number of VMs")
     parser.add_argument("--logs", help="folder that keeps the logs of the VMs")
     options = parser.parse_args()
     seed = options.seed
@@ -553,7 +660,7 @@
         if options.logs:
             folder = options.logs
             Path(folder).mkdir(parents=True, exist_ok=True)
-        soak = run_soak(seed, options.seconds, folder)
+        soak = run_soak(seed, options.seconds, folder, options.vms)
     kinds = {kind: soak.faults.count(kind) for kind in sorted(set(soak.faults))}
     print(f"seed {seed}: {soak.counts}, faults {kinds}")
     for violation in soak.violations:
