Start only the first processes of the soak as a new system

Restarted VMs of the soak had bootstrap=true as well, which the platform's settings have only when the whole system starts for the first time. A restarted VM that found no state then took it for a new system's. Each start now writes the settings file.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -173,7 +173,7 @@
         self.port = reserve_port(self.host)
         self.log = folder / f"vm{number}.log"
         self._path = folder / f"vm{number}.conf"
-        fields = {
+        self._fields = {
             "node": self.name,
             "zone": f"z{number % 3}",
             "listen.front": f"{self.host}:{self.port}",
@@ -182,14 +182,15 @@
             "platform.address": f"127.0.0.1:{self.store.port}",
             "cloud.address": f"127.0.0.1:{promote_port}",
             "bounds.grace_s": "4",
-            "bootstrap": "true",
         }
-        self._path.write_text("".join(f"{k}={v}\n" for k, v in fields.items()))
         self.process = None
         self.started_at = 0.0
 
     def start(self):
         self.started_at = time.monotonic()
+        # Only the first processes start a new system.
+        fields = {**self._fields, "bootstrap": str(self.process is None).lower()}
+        self._path.write_text("".join(f"{k}={v}\n" for k, v in fields.items()))
         environment = {**os.environ, "CITRONWOOD_SETTINGS": str(self._path)}
         with self.log.open("ab") as log:
             command = [sys.executable, "-m", "citronwood.platform.program"]
