Test restores of the store during changes of primary

Users' drills may fall into a change of primary, come twice in a row, or leave VMs out of the copy. Three scenarios of real processes, with callers that write on every VM all the time: a change that the store has forgotten after its promotion; the same with a leader that is paused until another VM has taken over from the copy; two restores, the second from an older copy, with a VM that is in neither the copy's list nor in touch with the store, while the primary is replaced and fails to step down. No acknowledged write may be lost or be made at an old primary, fencing tokens must be in order, and the fleet must serve within 12 s.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -72,8 +72,11 @@
         # was promoted; None while the server uses the group's log.
         self.fork_data = None
         self.fork_term = self.fork_number = 0
+        self.fails_to_step_down = False
 
     def _run(self, session, text):
+        if text.startswith("STEPDOWN ") and self.fails_to_step_down:
+            return "ERROR FAILED overheated\r\n"
         if text.startswith("STEPDOWN ") and int(text.split()[1]) <= self._term():
             text = "STATUS"
         elif text.startswith("STEPDOWN "):
