Let replaced primaries of the soak lead on

A replaced primary that answers steps down at once, so that no write of a VM whose lease is wrongly valid could succeed there.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -342,8 +342,8 @@
     async def _run_fault(self):
         kinds = [self._pause, self._kill, self._stop, self._hang_up, self._cut_store,
                  self._lose_store_answers, self._harm_server, self._drain,
-                 self._change_keys, self._restore_store,
-                 self._restore_store]  # fmt: skip
+                 self._change_keys, self._refuse_step_down,
+                 self._restore_store, self._restore_store]  # fmt: skip
         kind = self.random.choice(kinds)
         duration_s = self.random.uniform(*FAULT_DURATION_RANGE_S)
         self.faults.append(kind.__name__)
@@ -447,6 +447,14 @@
         server.is_draining = False
         self.group.write_entry(server, self.store.store)
 
+    async def _refuse_step_down(self, duration_s):
+        """Let a replaced primary lead on, so that only the VMs' leases protect it."""
+        server = self.random.choice(self.group.servers)
+        self.note_event(f"{server.id} fails to step down")
+        server.fails_to_step_down = True
+        await asyncio.sleep(duration_s)
+        server.fails_to_step_down = False
+
     async def _change_keys(self, duration_s):
         self.version += 1
         self.keys = [KEY] if OTHER_KEY in self.keys else [KEY, OTHER_KEY]
