Let faults of the soak follow each other around restores

Half of the pauses and ends of VMs now strike the leader, pauses, kills and drains come with restores, and at the end the primary drains, so that a promotion's token is checked after the last restore.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -29,6 +29,7 @@
 from aiohttp import web
 
 from tests.faults import BOTH, FaultProxy
+from tests.fleet_helpers import eventually
 from tests.processes import reserve_port
 from tests.relay_standins import (
     Caller,
@@ -41,6 +42,8 @@
 VMS = 4
 CALLERS = 12
 KEY, OTHER_KEY = "key-1", "key-2"
+# Of the values that the checks write.
+PROBE_PREFIXES = ("start-", "end-", "promotion-", "withdrawn")
 # Error codes that promise that the statement had no effect (platform's documentation).
 NO_EFFECT_CODES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"}
 RECOVERY_TIMEOUT_S = 12.0
@@ -59,6 +62,12 @@
 COPY_AGE_RANGE_S = (0.5, 8.0)
 COPY_INTERVAL_S = 0.25
 REPEAT_PROBABILITY = 0.3
+# Restores with which a VM is paused or ended, or a primary drains, at about the same
+# time.
+COMPANION_PROBABILITY = 0.6
+MAX_COMPANION_DELAY_S = 6.0
+# Share of the pauses and ends of VMs that strike the leader.
+LEADER_PROBABILITY = 0.5
 # Time after which the operator and the servers have written again.
 MAX_WRITE_AGAIN_S = 2.0
 
@@ -131,6 +140,18 @@
         # (holder, fencing token) of all calls to promote, in their order.
         self.promotions = []
 
+    @property
+    def newest_primary(self):
+        """Server that was promoted last; None if it has stepped down."""
+        return next(
+            (
+                server
+                for server in self.servers
+                if server.is_primary and server.fork_data is None
+            ),
+            None,
+        )
+
     def register(self, store):
         for server in self.servers:
             if server.id not in self.proxies:
@@ -299,6 +320,7 @@
                 await self._check_recovery("start")
                 await self._inject_faults(seconds)
                 await self._check_recovery("end")
+                await self._check_promotion()
                 await self._check_withdrawn_key()
                 self._check_results()
             finally:
@@ -356,6 +378,11 @@
         if len(available) < 2:
             return None
         vm = self.random.choice(available)
+        # The leader's faults are the ones after which another VM has to act.
+        stored = self.store.store.objects.get("citronwood-fleet", {}).get("state")
+        leader = "" if stored is None else stored.value["leader"]
+        if self.random.random() < LEADER_PROBABILITY:
+            vm = next((vm for vm in available if vm.name == leader), vm)
         self.reserved_vms.add(vm)
         self.note_event(f"{vm.name} is paused or ended")
         return vm
@@ -470,6 +497,18 @@
 
     async def _restore_store(self, duration_s):
         """Let the store be away and come back from a copy, at times twice in a row."""
+        async with asyncio.TaskGroup() as tasks:
+            for companion in (self._pause, self._kill, self._drain, self._drain):
+                if self.random.random() < COMPANION_PROBABILITY:
+                    tasks.create_task(self._run_companion(companion))
+            await self._restore_repeatedly()
+
+    async def _run_companion(self, fault):
+        await asyncio.sleep(self.random.uniform(0, MAX_COMPANION_DELAY_S))
+        self.note_event(f"{fault.__name__} with a restore")
+        await fault(self.random.uniform(*FAULT_DURATION_RANGE_S))
+
+    async def _restore_repeatedly(self):
         while True:
             age_s = self.random.uniform(*COPY_AGE_RANGE_S)
             wanted_at = time.monotonic() - age_s
@@ -611,6 +650,22 @@
             return False
         return lines[-1].startswith("DONE")
 
+    async def _check_promotion(self):
+        """Check that another server leads in time when the primary is draining."""
+        former = None
+        try:
+            await eventually(lambda: self.group.newest_primary, RECOVERY_TIMEOUT_S)
+            former = self.group.newest_primary
+            former.is_draining = True
+            self.group.write_entry(former, self.store.store)
+            await eventually(
+                lambda: self.group.newest_primary not in (former, None),
+                RECOVERY_TIMEOUT_S,
+            )
+        except TimeoutError:
+            self.add_violation(f"primary {former and former.id} was not replaced")
+        await self._check_recovery("promotion")
+
     async def _check_withdrawn_key(self):
         self.keys, self.version = [KEY], self.version + 1
         self._configure()
@@ -624,7 +679,7 @@
         stored, diverged = set(written), dict(self.group.fork_writes)
         sent = {value for values in self.sent.values() for value in values}
         for value in sorted(stored):
-            probe = value.startswith(("start-", "end-", "withdrawn"))
+            probe = value.startswith(PROBE_PREFIXES)
             if not probe and written.count(value) > 1:
                 self.add_violation(f"{value} was written twice")
             if not probe and value not in sent:
