Judge the remaining parts of ONE in the simulation

Cause: only the order of the fencing tokens was judged, neither holders that take turns nor commits at the old primary after a promotion. Change: the history has the disturbances of machines and links, the host that each promotion came from, and for each commit the VM that sent it and when. Turns are a holder, another one and the first again within the leader's lease, because the users give no figure for theirs; they count if all of them and the store were undisturbed for the 4 s of the rule on contact. An acknowledged commit at a server of a lower term than one that leads is a violation unless its sender or the link was disturbed in the 0.3 s before it was sent, or from then until the commit.

--- a/citronwood/simulation/checks.py
+++ b/citronwood/simulation/checks.py
@@ -8,10 +8,23 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from citronwood.simulation.history import PROMISES, History, Violation, acknowledged
+from citronwood.relay.leadership import LEADER_LEASE_S
+from citronwood.simulation.history import (
+    PROMISES,
+    Disturbance,
+    History,
+    PromoteCall,
+    Violation,
+    acknowledged,
+)
+from citronwood.simulation.network import STORE_HOST
 
 # "Reads, writes and COMMIT are forwarded to a member."
 FORWARDED = ("READ", "WRITE", "COMMIT")
+# From the users' pages: a machine is in touch if it was undisturbed for so long.
+CONTACT_S = 4.0
+# "The sender was on a disrupted link in the last ``thaw_slack_ms``."
+THAW_SLACK_S = 0.3
 
 
 class Bounds(NamedTuple):
@@ -149,7 +162,7 @@
                 yield Violation("STALE", request.ended_at, text)
 
 
-def check_one(history: History, bounds: Bounds) -> Iterator[Violation]:
+def check_fences(history: History, bounds: Bounds) -> Iterator[Violation]:
     """Judge ONE: fencing tokens do not decrease and are not shared by holders."""
     newest, holder = 0, ""
     for call in history.promote_calls:
@@ -160,6 +173,85 @@
             newest, holder = call.fence, call.holder
 
 
+def check_turns(history: History, bounds: Bounds) -> Iterator[Violation]:
+    """Judge ONE: holders in touch do not take turns inside a lease.
+
+    They do if a holder promotes, another one does and then the first again. The users
+    give no figure for the lease, so it is the one that the leader's lease has.
+    """
+    last_calls: dict[str, PromoteCall] = {}
+    for index, call in enumerate(history.promote_calls):
+        earlier = last_calls.get(call.holder)
+        last_calls[call.holder] = call
+        if earlier is None or call.at >= earlier.at + LEADER_LEASE_S:
+            continue
+        turns = [
+            other
+            for other in history.promote_calls[:index]
+            if other.holder != call.holder and earlier.at <= other.at
+        ]
+        in_touch = all(
+            _is_in_touch(history, each.host, each.at)
+            for each in (earlier, call, *turns[:1])
+        )
+        if turns and in_touch:
+            text = (
+                f"{call.holder} promoted at {earlier.at:.3f}, {turns[0].holder} at "
+                f"{turns[0].at:.3f}, and {call.holder} again"
+            )
+            yield Violation("ONE", call.at, text)
+
+
+def _is_in_touch(history: History, host: str, at: float) -> bool:
+    """Whether a machine, its links and the store were undisturbed for some time."""
+    return not any(
+        disturbance.ended_at >= at - CONTACT_S
+        and disturbance.began_at <= at
+        and not {host, STORE_HOST}.isdisjoint((disturbance.host, disturbance.peer))
+        for disturbance in history.disturbances
+    )
+
+
+def check_old_primary(history: History, bounds: Bounds) -> Iterator[Violation]:
+    """Judge ONE: an old primary commits nothing that a caller is told of.
+
+    Not counted if the VM that sent the request to commit, or its link to the primary,
+    was disturbed shortly before it sent it, or from then until the commit.
+    """
+    known = acknowledged(history)
+    for commit in history.commits:
+        request = known.get(commit.entry.commit)
+        if request is None:
+            continue
+        newer = [
+            promoted
+            for promoted in history.promoted
+            if promoted.group == commit.group
+            and promoted.server != commit.server
+            and promoted.term > commit.entry.term
+            and promoted.at < commit.at
+        ]
+        is_held_up = any(
+            disturbance.ended_at >= commit.sent_at - THAW_SLACK_S
+            and disturbance.began_at <= commit.at
+            and _concerns_link(disturbance, commit.sender, commit.host)
+            for disturbance in history.disturbances
+        )
+        if newer and not is_held_up:
+            text = (
+                f"{commit.entry.commit} was committed at {commit.server} in term "
+                f"{commit.entry.term} and acknowledged at {request.ended_at:.3f}; "
+                f"{newer[0].server} led term {newer[0].term} from {newer[0].at:.3f}"
+            )
+            yield Violation("ONE", commit.at, text)
+
+
+def _concerns_link(disturbance: Disturbance, sender: str, receiver: str) -> bool:
+    """Whether a machine that sends, or its link to a receiver, was disturbed."""
+    ends = disturbance.host, disturbance.peer
+    return ends in ((sender, ""), (sender, receiver), (receiver, sender))
+
+
 def check_drain(history: History, bounds: Bounds) -> Iterator[Violation]:
     """Judge DRAIN: no request reaches a server later than the bound after its report.
 
@@ -199,7 +291,9 @@
     check_mixed,
     check_unasked,
     check_stale,
-    check_one,
+    check_fences,
+    check_turns,
+    check_old_primary,
     check_drain,
     check_recover,
 )
--- a/citronwood/simulation/history.py
+++ b/citronwood/simulation/history.py
@@ -1,5 +1,6 @@
 """What callers, backend servers and the platform have seen during a simulation."""
 
+import math
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
@@ -67,12 +68,19 @@
 
 
 class Commit(NamedTuple):
-    """Commit at a primary."""
+    """Commit at a primary.
+
+    ``host`` is the primary's host, ``sender`` the one from which it got the request to
+    commit, and ``sent_at`` the time at which that one sent it.
+    """
 
     at: float
     server: str
     group: str
     entry: Entry
+    host: str = ""
+    sender: str = ""
+    sent_at: float = math.inf
 
 
 class Promoted(NamedTuple):
@@ -86,12 +94,13 @@
 
 
 class PromoteCall(NamedTuple):
-    """Call to promote a server."""
+    """Call to promote a server, and the host that it came from."""
 
     at: float
     server: str
     holder: str
     fence: int
+    host: str = ""
 
 
 class Drained(NamedTuple):
@@ -101,6 +110,18 @@
     server: str
 
 
+class Disturbance(NamedTuple):
+    """Time in which a machine was disturbed, or its links to another host.
+
+    ``peer`` is empty if the machine itself or all of its links were disturbed.
+    """
+
+    began_at: float
+    ended_at: float
+    host: str
+    peer: str = ""
+
+
 class History(NamedTuple):
     """Everything that was seen in one run, in the order of time."""
 
@@ -110,6 +131,7 @@
     promoted: list[Promoted]
     promote_calls: list[PromoteCall]
     drained: list[Drained]
+    disturbances: list[Disturbance]
 
 
 class Violation(NamedTuple):
@@ -122,7 +144,7 @@
 
 def new_history() -> History:
     """Return an empty history."""
-    return History([], [], [], [], [], [])
+    return History([], [], [], [], [], [], [])
 
 
 def acknowledged(history: History) -> dict[str, Request]:
--- a/citronwood/simulation/network.py
+++ b/citronwood/simulation/network.py
@@ -23,6 +23,9 @@
 # Interval at which data that met a cut is sent again.
 RETRANSMISSION_S = 0.2
 OUTSIDE = "outside"
+STORE_HOST, CLOUD_HOST = "10.200.1.7", "10.200.0.2"
+# Extra information of a transport: when the data that it last received was sent.
+SENT_AT = "sent_at"
 
 
 class Address(NamedTuple):
@@ -220,7 +223,9 @@
         self._is_reading = True
         self._received: list[bytes | None] = []
         self._sent_until = 0.0
-        self._unsent: list[bytes | None] = []
+        self._unsent: list[tuple[float, bytes | None]] = []
+        # Time at which the other end sent what was last received.
+        self._received_sent_at = 0.0
         self.is_lost = False
 
     def attach(self, protocol: Any) -> "Endpoint":
@@ -238,11 +243,13 @@
     # Interface of transports.
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
-        """Return the addresses; there is no socket."""
+        """Return the addresses or the age of received data; there is no socket."""
         if name == "peername":
             return (self._peer, 0)
         if name == "sockname":
             return (self._host, 0)
+        if name == SENT_AT:
+            return self._received_sent_at
         return default
 
     def is_closing(self) -> bool:
@@ -277,7 +284,7 @@
 
     def get_write_buffer_size(self) -> int:
         """Return the bytes that the network does not take while it is cut."""
-        return sum(len(data or b"") for data in self._unsent)
+        return sum(len(data or b"") for _, data in self._unsent)
 
     def write(self, data: Any) -> None:
         """Send data to the other end."""
@@ -327,7 +334,7 @@
         return self._sent_until
 
     def _send(self, data: bytes | None) -> None:
-        self._unsent.append(data)
+        self._unsent.append((self._network.time(), data))
         if len(self._unsent) == 1:
             self._pass_on()
 
@@ -343,19 +350,21 @@
                     context=self._context,
                 )
         else:
-            for data in self._unsent:
+            for sent_at, data in self._unsent:
                 self._network.schedule(
                     self._arrival(),
                     self.other.receive,
                     data,
+                    sent_at,
                     context=self.other._context,
                 )
             self._unsent.clear()
 
-    def receive(self, data: bytes | None) -> None:
+    def receive(self, data: bytes | None, sent_at: float) -> None:
         """Take data from the other end; None is the end of the data."""
         if self.is_lost or self._connection.is_silent:
             return
+        self._received_sent_at = sent_at
         self._received.append(data)
         self._deliver_received()
 
--- a/citronwood/simulation/servers.py
+++ b/citronwood/simulation/servers.py
@@ -13,7 +13,7 @@
 
 from citronwood.simulation.history import Commit, Drained, Entry, History, Promoted, Run
 from citronwood.simulation.machine import Machine
-from citronwood.simulation.network import Network
+from citronwood.simulation.network import SENT_AT, Network
 
 REPLICATION_DELAY_S = 0.02
 SYNC_INTERVAL_S = 0.1
@@ -265,7 +265,7 @@
             writer.write(f"ERROR TOOMANY {self.id}\r\n".encode("latin-1"))
             return
         await asyncio.sleep(HANDSHAKE_S)
-        session = _Session(self, words[2])
+        session = _Session(self, words[2], writer)
         writer.write(session.ready())
         while (line := await _read_line(reader)) != "BYE":
             _, request_id, text = line.split(" ", 2)
@@ -280,12 +280,26 @@
         term, number = self.position
         return f"{role} {self.term} {term}.{number} {self.term} 0 0 {self._connections}"
 
-    async def commit(self, commit_id: str, writes: list[tuple[str, str, str]]) -> None:
+    async def commit(
+        self,
+        commit_id: str,
+        writes: list[tuple[str, str, str]],
+        sender: str,
+        sent_at: float,
+    ) -> None:
         """Append a commit and return once it may be acknowledged."""
         entry = Entry(self.term, self.position[1] + 1, commit_id, tuple(writes))
         self.log.append(entry)
         self.group.history.commits.append(
-            Commit(self._now(), self.id, self.group.name, entry)
+            Commit(
+                self._now(),
+                self.id,
+                self.group.name,
+                entry,
+                self.machine.host,
+                sender,
+                sent_at,
+            )
         )
         await self._replicate(entry)
 
@@ -303,9 +317,12 @@
 class _Session:
     """Session of a connection to a server."""
 
-    def __init__(self, server: Server, account: str) -> None:
+    def __init__(
+        self, server: Server, account: str, writer: asyncio.StreamWriter
+    ) -> None:
         self._server = server
         self._account = account
+        self._writer = writer
         self._state = "I"
         self._writes: list[tuple[str, str, str]] = []
         self._is_read_only = False
@@ -377,7 +394,7 @@
             writes = self._writes
             self._end()
             if writes:
-                await server.commit(request_id, writes)
+                await self._commit(request_id, writes)
             return Outcome(self._sign()), nothing
         if not server.is_primary or self._is_read_only:
             return self._fail("READONLY"), nothing
@@ -385,9 +402,17 @@
         if self._state == "T":
             self._writes.append((request_id, item, data))
         else:
-            await server.commit(request_id, [(request_id, item, data)])
+            await self._commit(request_id, [(request_id, item, data)])
         return Outcome(self._sign()), nothing
 
+    async def _commit(
+        self, request_id: str, writes: list[tuple[str, str, str]]
+    ) -> None:
+        # A caller's next request is sent only after the answer to this one.
+        sender, _ = self._writer.get_extra_info("peername")
+        sent_at = self._writer.get_extra_info(SENT_AT)
+        await self._server.commit(request_id, writes, sender, sent_at)
+
     def _end(self) -> None:
         self._state, self._writes, self._is_read_only = "I", [], False
 
--- a/citronwood/simulation/store.py
+++ b/citronwood/simulation/store.py
@@ -169,6 +169,7 @@
                 body["id"],
                 request.headers["Duty-Holder"],
                 int(request.headers["Fencing-Token"]),
+                request.remote or "",
             )
         )
         server = self._servers.get(body["id"])
--- a/citronwood/simulation/troubles.py
+++ b/citronwood/simulation/troubles.py
@@ -6,10 +6,10 @@
 from typing import Any
 
 from citronwood.simulation.machine import Machine
-from citronwood.simulation.network import OUTSIDE, Connection
+from citronwood.simulation.network import CLOUD_HOST, OUTSIDE, STORE_HOST, Connection
 from citronwood.simulation.plan import Trouble
 from citronwood.simulation.servers import HEARTBEAT_S, Server
-from citronwood.simulation.world import CLOUD_HOST, GROUP, STORE_HOST, World
+from citronwood.simulation.world import GROUP, World
 
 Action = Callable[[World, Trouble], Coroutine[Any, Any, None]]
 
@@ -57,9 +57,7 @@
     return servers[trouble.target % len(servers)] if servers else None
 
 
-async def _kill_vm(world: World, trouble: Trouble) -> None:
-    """Kill single processes."""
-    vm = _vm(world, trouble)
+async def _kill(world: World, vm: Machine | None, trouble: Trouble) -> None:
     if vm is not None:
         world.kill_vm(vm)
         await asyncio.sleep(trouble.for_s)
@@ -67,6 +65,11 @@
             world.start_vm(vm)
 
 
+async def _kill_vm(world: World, trouble: Trouble) -> None:
+    """Kill single processes."""
+    await _kill(world, _vm(world, trouble), trouble)
+
+
 async def _kill_all_vms(world: World, trouble: Trouble) -> None:
     """Kill many processes at the same moment."""
     killed = [vm for vm in world.vms if vm.is_running]
@@ -78,23 +81,28 @@
             world.start_vm(vm)
 
 
-async def _pause_vm(world: World, trouble: Trouble) -> None:
-    """Freeze a machine, which wakes again."""
-    vm = _vm(world, trouble)
+async def _pause(world: World, vm: Machine | None, trouble: Trouble) -> None:
     if vm is not None:
         process = vm.process
         vm.is_paused = True
+        world.note_disturbance(vm.host, for_s=trouble.for_s)
         await asyncio.sleep(trouble.for_s)
         if vm.is_running and vm.process == process:
             vm.resume()
 
 
+async def _pause_vm(world: World, trouble: Trouble) -> None:
+    """Freeze a machine, which wakes again."""
+    await _pause(world, _vm(world, trouble), trouble)
+
+
 async def _stop_vm(world: World, trouble: Trouble) -> None:
     """Stop a machine by plan and start it again."""
     vm = _vm(world, trouble)
     if vm is None or signal.SIGTERM not in vm.signal_handlers:
         return
     process = vm.process
+    world.note_disturbance(vm.host)
     vm.signal_handlers[signal.SIGTERM]()
     # The platform notices after two questions, a second apart.
     await asyncio.sleep(2.0)
@@ -111,11 +119,13 @@
     """Let the time of day of a machine differ."""
     vm = _vm(world, trouble)
     if vm is not None:
+        world.note_disturbance(vm.host)
         vm.clock_offset_s += (trouble.variant % 41) - 20.0
 
 
 async def _store_down(world: World, trouble: Trouble) -> None:
     """Let the platform's store be down."""
+    world.note_disturbance(STORE_HOST, for_s=trouble.for_s)
     world.store.is_down = True
     await asyncio.sleep(trouble.for_s)
     world.store.is_down = False
@@ -123,6 +133,7 @@
 
 async def _store_loses(world: World, trouble: Trouble) -> None:
     """Let answers of the platform's store be lost."""
+    world.note_disturbance(STORE_HOST, for_s=trouble.for_s)
     world.store.lost_share = 0.3
     await asyncio.sleep(trouble.for_s)
     world.store.lost_share = 0.0
@@ -135,6 +146,8 @@
         for index, vm in enumerate(world.vms)
         if (trouble.variant >> index) & 1 or index == trouble.target % len(world.vms)
     }
+    for host in sorted(chosen):
+        world.note_disturbance(host, STORE_HOST, trouble.for_s)
     world.store.refuses |= chosen
     await asyncio.sleep(trouble.for_s)
     world.store.refuses -= chosen
@@ -148,6 +161,8 @@
         cuts |= pairs
     if direction != 0:
         cuts |= {(target, source) for source, target in pairs}
+    for host, peer in sorted(pairs):
+        world.note_disturbance(host, peer, trouble.for_s)
     world.network.cuts |= cuts
     await asyncio.sleep(trouble.for_s)
     world.network.cuts -= cuts
@@ -207,6 +222,7 @@
     """Reset the connections of a machine."""
     vm = _vm(world, trouble)
     if vm is not None:
+        world.note_disturbance(vm.host)
         world.network.reset(_concerns(vm.host))
 
 
@@ -214,6 +230,7 @@
     """Let open connections go silent for good, while new ones work."""
     vm = _vm(world, trouble)
     if vm is not None:
+        world.note_disturbance(vm.host)
         world.network.silence(_concerns(vm.host))
 
 
@@ -226,6 +243,7 @@
         pairs = {(vm.host, other) for other in others}
         pairs |= {(other, vm.host) for other in others}
         delays = dict.fromkeys(pairs, 0.05 + 0.3 * (trouble.variant % 3))
+        world.note_disturbance(vm.host, for_s=trouble.for_s)
         world.network.delays.update(delays)
         await asyncio.sleep(trouble.for_s)
         for pair in sorted(delays):
--- a/citronwood/simulation/world.py
+++ b/citronwood/simulation/world.py
@@ -9,16 +9,15 @@
 from citronwood.platform import process
 from citronwood.platform.nodefile import Address, NodeSettings
 from citronwood.simulation.callers import Caller
-from citronwood.simulation.history import History, new_history
+from citronwood.simulation.history import Disturbance, History, new_history
 from citronwood.simulation.loop import SimulatedLoop
 from citronwood.simulation.machine import Machine
-from citronwood.simulation.network import Network
+from citronwood.simulation.network import CLOUD_HOST, STORE_HOST, Network
 from citronwood.simulation.plan import SERVERS, Plan
 from citronwood.simulation.servers import Group, Server
 from citronwood.simulation.store import Cloud, Store
 from citronwood.simulation.substitutes import EPOCH_S
 
-STORE_HOST, CLOUD_HOST = "10.200.1.7", "10.200.0.2"
 PLATFORM_PORT = 8466
 CALLER_PORT, READY_PORT, INNER_PORT = 8465, 8460, 7560
 SERVER_PORT = 8080
@@ -141,6 +140,7 @@
             processors=0.7,
             is_first_start=self.loop.time() == 0.0,
         )
+        self.note_disturbance(vm.host)
         context = vm.start()
         self.stopping.discard(vm.name)
         run = process._run(settings, Path("settings"))
@@ -148,9 +148,15 @@
 
     def kill_vm(self, vm: Machine) -> None:
         """End the process of a VM at once."""
+        self.note_disturbance(vm.host)
         vm.end()
         self.network.end_process(vm)
 
+    def note_disturbance(self, host: str, peer: str = "", for_s: float = 0.0) -> None:
+        """Record that a machine, or its links to another host, are disturbed."""
+        time = self.loop.time()
+        self.history.disturbances.append(Disturbance(time, time + for_s, host, peer))
+
     def keep(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine beside the others until the end of the run."""
         self._tasks.append(self.loop.create_task(coroutine))
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -15,6 +15,7 @@
 from citronwood.simulation.checks import Bounds, find_violations
 from citronwood.simulation.history import (
     Commit,
+    Disturbance,
     Drained,
     Entry,
     PromoteCall,
@@ -25,6 +26,7 @@
 )
 from citronwood.simulation.loop import SimulatedLoop
 from citronwood.simulation.machine import Machine
+from citronwood.simulation.network import STORE_HOST
 from citronwood.simulation.plan import Plan, Trouble, draw_plan, read_plan, write_plan
 from citronwood.simulation.runner import run_plan
 from citronwood.simulation.search import shrink
@@ -336,6 +338,121 @@
     assert [violation.rule for violation in violations] == ["RECOVER"]
 
 
+# The parts of ONE that need more than one history of each kind.
+
+
+def calls(*records):
+    """Return calls to promote a server, from times, holders and fencing tokens."""
+    return [
+        PromoteCall(at, "a", holder, fence, f"10.1.0.{holder[-1]}")
+        for at, holder, fence in records
+    ]
+
+
+TURNS = calls((20.0, "vm1", 3), (21.0, "vm2", 4), (22.0, "vm1", 5))
+
+
+def judge_one(**records):
+    return [
+        violation
+        for violation in find_violations(history(**records), BOUNDS)
+        if violation.rule == "ONE"
+    ]
+
+
+def test_lower_fencing_token_breaks_one_also_of_the_same_holder():
+    seen = calls((1.0, "vm1", 3), (9.0, "vm1", 2))
+    assert [violation.at for violation in judge_one(promote_calls=seen)] == [9.0]
+
+
+def test_holders_in_touch_must_not_take_turns_inside_a_lease():
+    assert [violation.at for violation in judge_one(promote_calls=TURNS)] == [22.0]
+
+
+@pytest.mark.parametrize(
+    "seen",
+    [
+        calls((20.0, "vm1", 3), (21.0, "vm2", 4), (22.0, "vm2", 4)),
+        calls((20.0, "vm1", 3), (21.0, "vm1", 3), (22.0, "vm1", 3)),
+        calls((20.0, "vm1", 3), (21.0, "vm2", 4), (22.5, "vm1", 5)),
+    ],
+    ids=["one change of leader", "one holder", "after the lease"],
+)
+def test_promotions_that_are_no_turns_inside_a_lease_keep_one(seen):
+    assert judge_one(promote_calls=seen) == []
+
+
+@pytest.mark.parametrize(
+    ("disturbance", "is_broken"),
+    [
+        (Disturbance(17.0, 17.0, "10.1.0.1"), False),
+        (Disturbance(10.0, 16.5, "10.1.0.3", "10.1.0.2"), True),
+        (Disturbance(10.0, 17.5, "10.1.0.3", "10.1.0.2"), False),
+        (Disturbance(10.0, 18.5, STORE_HOST), False),
+        (Disturbance(10.0, 15.9, "10.1.0.1"), True),
+        (Disturbance(22.1, 23.0, "10.1.0.1"), True),
+        (Disturbance(19.0, 23.0, "10.1.0.3"), True),
+    ],
+)
+def test_turns_are_counted_only_of_holders_in_touch(disturbance, is_broken):
+    broken = judge_one(promote_calls=TURNS, disturbances=[disturbance])
+    assert bool(broken) == is_broken
+
+
+def commit_of_old_primary(**change):
+    """Return records of a commit at a while b leads since 5.0."""
+    answered = {"sent_at": 5.9, "ended_at": 6.2, **change.pop("request", {})}
+    result = answered.pop("result", "DONE s1")
+    late = commit(1, at=6.0)._replace(host="10.2.0.1", sender="10.1.0.1", sent_at=5.99)
+    return {
+        "requests": [request(1, "WRITE x v", result, **answered)],
+        "runs": [run(1, "WRITE x v", at=6.1)],
+        "commits": [late._replace(**change)],
+        "promoted": [promoted()],
+    }
+
+
+def test_acknowledged_commit_at_the_old_primary_breaks_one():
+    broken = judge_one(**commit_of_old_primary())
+    assert [violation.at for violation in broken] == [6.0]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"at": 4.9},
+        {"server": "b", "entry": Entry(2, 1, "r1", (("r1", "x", "v"),))},
+        {"group": "h"},
+        {"request": {"result": "ERROR UNKNOWN"}},
+        {"request": {"result": None}},
+    ],
+    ids=["before", "at the new primary", "other group", "unknown", "no answer"],
+)
+def test_commits_that_are_no_success_at_the_old_primary_keep_one(change):
+    assert judge_one(**commit_of_old_primary(**change)) == []
+
+
+@pytest.mark.parametrize(
+    ("disturbance", "is_broken"),
+    [
+        # Paused, and the commit left within the slack after it; or later.
+        (Disturbance(2.0, 5.7, "10.1.0.1"), False),
+        (Disturbance(2.0, 5.6, "10.1.0.1"), True),
+        # Held up on the way, in either direction of the link.
+        (Disturbance(5.995, 6.5, "10.1.0.1", "10.2.0.1"), False),
+        (Disturbance(5.995, 6.5, "10.2.0.1", "10.1.0.1"), False),
+        # After the commit, on another link, or of another machine.
+        (Disturbance(6.01, 7.0, "10.1.0.1", "10.2.0.1"), True),
+        (Disturbance(5.0, 7.0, "10.1.0.1", STORE_HOST), True),
+        (Disturbance(5.0, 7.0, "10.2.0.1", "10.2.0.2"), True),
+        (Disturbance(5.0, 7.0, "10.1.0.2"), True),
+    ],
+)
+def test_only_commits_that_were_held_up_are_not_counted(disturbance, is_broken):
+    broken = judge_one(**commit_of_old_primary(), disturbances=[disturbance])
+    assert bool(broken) == is_broken
+
+
 # Plans and runs.
 
 
