Let the simulated store come back from a copy

Change: the model keeps a copy every 0.1 s for 10 s and returns to one that is 0.5 s to 8 s old; revisions are given out again, calls whose answers were lost may still be executed on them, the operator writes again after 0.5 s and servers with their next reports.

--- a/citronwood/simulation/plan.py
+++ b/citronwood/simulation/plan.py
@@ -1,6 +1,7 @@
 """Plan of a run: its size, its settings and its troubles, drawn from one seed."""
 
 import random
+from collections.abc import Sequence
 from pathlib import Path
 from typing import NamedTuple, TypedDict
 
@@ -63,11 +64,14 @@
     "vm_kill": (0.3, 3.0),
     "all_vms_kill": (0.3, 2.0),
     "vm_pause": (0.3, 7.0),
+    "leader_kill": (0.3, 5.0),
+    "leader_pause": (0.3, 7.0),
     "vm_stop": (0.5, 3.0),
     "vm_clock": (0.0, 0.0),
     "store_down": (0.5, 6.0),
     "store_loses_answers": (0.5, 4.0),
     "store_refuses_vms": (0.5, 7.0),
+    "store_restored": (0.3, 3.0),
     "cut_vm": (0.5, 6.0),
     "cut_vm_from_store": (0.5, 6.0),
     "cut_vm_from_server": (0.5, 6.0),
@@ -102,7 +106,7 @@
 )
 
 
-# Half of the runs draw their troubles from these alone: replicas that acknowledge
+# Some runs draw their troubles from these alone: replicas that acknowledge
 # commits fail together only if most troubles concern servers.
 FOCUSED_KINDS = (
     "primary_crash",
@@ -118,22 +122,51 @@
     "vm_kill",
     "all_vms_kill",
 )
+FOCUSED_SHARE = 0.4
+# Other runs have restores of the store from a copy among troubles that change the
+# leader, the primary or what a VM knows of them.
+RESTORE_KINDS = (
+    "vm_kill",
+    "all_vms_kill",
+    "leader_kill",
+    "leader_pause",
+    "vm_stop",
+    "store_loses_answers",
+    "cut_vm",
+    "cut_vm_from_store",
+    "primary_crash",
+    "primary_drain",
+    "promote_late",
+    "promote_answer_lost",
+)
+RESTORE_SHARE = 0.3
+MAX_RESTORES = 2
+# Troubles beside the restores. A restore alone does no harm: a token is given out twice
+# only if a leader changed before it, and primaries before and after it.
+MIN_BESIDE_RESTORES = 3
 
 
 def draw_plan(seed: int) -> Plan:
     """Draw a plan from a seed."""
     source = random.Random(seed)
-    kinds = FOCUSED_KINDS if source.random() < 0.5 else sorted(KINDS)
+    share = source.random()
+    kinds: Sequence[str] = sorted(KINDS)
+    restores, fewest = 0, 1
+    if share < FOCUSED_SHARE:
+        kinds = FOCUSED_KINDS
+    elif share < FOCUSED_SHARE + RESTORE_SHARE:
+        kinds = RESTORE_KINDS
+        restores, fewest = source.randint(1, MAX_RESTORES), MIN_BESIDE_RESTORES
     times: list[float] = []
     troubles = []
-    for _ in range(source.randint(1, MAX_TROUBLES)):
+    for index in range(restores + source.randint(fewest, MAX_TROUBLES - restores)):
         if times and source.random() < NEAR_SHARE:
             at = source.choice(times) + source.uniform(-NEAR_S, NEAR_S)
         else:
             at = START_S + source.random() * TROUBLE_SPAN_S
         at = min(max(START_S, at), START_S + TROUBLE_SPAN_S)
         times.append(at)
-        kind = source.choice(kinds)
+        kind = "store_restored" if index < restores else source.choice(kinds)
         troubles.append(
             Trouble(
                 kind,
--- a/citronwood/simulation/store.py
+++ b/citronwood/simulation/store.py
@@ -4,13 +4,18 @@
 increases with each change." "A 503 response means that nothing was done." "A call that
 receives no response may have been executed, or may be executed seconds later if its
 condition still holds." Watches are not modelled; the relay uses none.
+
+"In a drill the store may be away for a moment and come back from a copy some seconds
+old. Revisions go back and are given out again. The header ``Store-Era``, in all its
+answers, rises by one each time."
 """
 
 import asyncio
 import json
 import random
+from collections import deque
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 from aiohttp import web
 
@@ -22,6 +27,17 @@
 # "Removed after three heartbeat intervals of silence."
 ENTRY_LIFETIME_S = 3 * HEARTBEAT_S
 PAGE_SIZE = 500
+GENERATION_HEADER = "Store-Era"
+# Older than the oldest copy that a drill restores.
+COPY_LIFETIME_S = 10.0
+
+
+class Copy(NamedTuple):
+    """Content of the store at a time."""
+
+    at: float
+    revision: int
+    objects: dict[str, dict[str, dict[str, Any]]]
 
 
 class Store:
@@ -29,19 +45,22 @@
 
     ``is_down`` and ``refuses`` (hosts) make calls fail with 503, ``lost_share`` is the
     share of calls whose answer never comes, some of them executed late. ``texts`` are
-    JSON texts of objects that another writer has made unreadable.
+    JSON texts of objects that another writer has made unreadable. ``generation`` counts
+    the restores from a copy.
     """
 
     def __init__(self, source: random.Random, time: Callable[[], float]) -> None:
         self._random = source
         self._time = time
         self.revision = 100
+        self.generation = 1
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
         self.is_down = False
         self.refuses: set[str] = set()
         self.lost_share = 0.0
         self.texts: list[str] = []
         self._written_at: dict[str, float] = {}
+        self._copies: deque[Copy] = deque()
 
     async def start(self, host: str, port: int) -> None:
         """Serve calls."""
@@ -71,7 +90,7 @@
         if self.is_down:
             return
         if entry is None:
-            self._remove("servers", server)
+            self.remove("servers", server)
         else:
             self.write("servers", server, entry)
             self._written_at[server] = self._time()
@@ -81,13 +100,43 @@
         for server, at in list(self._written_at.items()):
             if self._time() >= at + ENTRY_LIFETIME_S:
                 del self._written_at[server]
-                self._remove("servers", server)
+                self.remove("servers", server)
+
+    def keep_copy(self) -> None:
+        """Keep a copy of the content, and drop those that are too old.
+
+        Objects are replaced as a whole, so the copy shares them.
+        """
+        objects = {kind: dict(kept) for kind, kept in self.objects.items()}
+        self._copies.append(Copy(self._time(), self.revision, objects))
+        while self._copies[0].at < self._time() - COPY_LIFETIME_S:
+            self._copies.popleft()
+
+    def restore(self, at: float) -> None:
+        """Return to the newest copy that was kept until a time, or to the oldest one.
+
+        The copy may be older than an earlier restore, and then has what that one lost.
+        Entries of servers are as silent as if they had just been written.
+        """
+        kept = [copy for copy in self._copies if copy.at <= at] or [self._copies[0]]
+        self.revision = kept[-1].revision
+        self.objects = {
+            kind: dict(objects) for kind, objects in kept[-1].objects.items()
+        }
+        self.generation += 1
+        self._written_at = dict.fromkeys(self.objects["servers"], self._time())
 
-    def _remove(self, kind: str, name: str) -> None:
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object if it exists."""
         if self.objects.get(kind, {}).pop(name, None) is not None:
             self.revision += 1
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
+        response = await self._answer(request)
+        response.headers[GENERATION_HEADER] = str(self.generation)
+        return response
+
+    async def _answer(self, request: web.Request) -> web.Response:
         await asyncio.sleep(ANSWER_S)
         if self.is_down or request.remote in self.refuses:
             return web.json_response({}, status=503)
@@ -120,7 +169,7 @@
             status = 200 if request.method == "GET" else 409
             return web.json_response(objects[name], status=status)
         if request.method == "DELETE":
-            self._remove(kind, name)
+            self.remove(kind, name)
             return web.json_response({})
         if objects[name]["spec"] != body["spec"]:
             self.write(kind, name, body["spec"])
--- a/citronwood/simulation/troubles.py
+++ b/citronwood/simulation/troubles.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from citronwood.relay.leadership import STATE_KIND, STATE_NAME
 from citronwood.simulation.machine import Machine
 from citronwood.simulation.network import CLOUD_HOST, OUTSIDE, STORE_HOST, Connection
 from citronwood.simulation.plan import Trouble
@@ -13,6 +14,12 @@
 
 Action = Callable[[World, Trouble], Coroutine[Any, Any, None]]
 
+# A drill restores a copy that is 0.5 s to 8 s old.
+COPY_AGE_STEP_S = 0.5
+COPY_AGES = 16
+# Time until the operator writes the configuration again that a restore has lost.
+OPERATOR_DELAY_S = 0.5
+
 FOREIGN_TEXTS = (
     '{"meta": {"name": "x-1", "revision": 9}, "spec": {"zone": "z \\ud83c"}}',
     '{"meta": {"name": "x-1", "revision": 9}, "spec": "\\x"}',
@@ -57,6 +64,14 @@
     return servers[trouble.target % len(servers)] if servers else None
 
 
+def _leader(world: World) -> Machine | None:
+    """Return the VM that the newest content of the store names as leader."""
+    state = world.store.objects.get(STATE_KIND, {}).get(STATE_NAME)
+    name = None if state is None else state["spec"]["leader"]
+    running = [vm for vm in world.vms if vm.is_running and not vm.is_paused]
+    return next((vm for vm in running if vm.name == name), None)
+
+
 async def _kill(world: World, vm: Machine | None, trouble: Trouble) -> None:
     if vm is not None:
         world.kill_vm(vm)
@@ -70,6 +85,11 @@
     await _kill(world, _vm(world, trouble), trouble)
 
 
+async def _kill_leader(world: World, trouble: Trouble) -> None:
+    """Kill the process of the leader."""
+    await _kill(world, _leader(world), trouble)
+
+
 async def _kill_all_vms(world: World, trouble: Trouble) -> None:
     """Kill many processes at the same moment."""
     killed = [vm for vm in world.vms if vm.is_running]
@@ -96,6 +116,11 @@
     await _pause(world, _vm(world, trouble), trouble)
 
 
+async def _pause_leader(world: World, trouble: Trouble) -> None:
+    """Freeze the machine of the leader, which wakes again."""
+    await _pause(world, _leader(world), trouble)
+
+
 async def _stop_vm(world: World, trouble: Trouble) -> None:
     """Stop a machine by plan and start it again."""
     vm = _vm(world, trouble)
@@ -139,6 +164,25 @@
     world.store.lost_share = 0.0
 
 
+async def _restore_store(world: World, trouble: Trouble) -> None:
+    """Let the store be away and come back from a copy; the operator writes again.
+
+    Servers write their entries again with their next reports.
+    """
+    store = world.store
+    copied_at = world.loop.time() - (trouble.variant % COPY_AGES + 1) * COPY_AGE_STEP_S
+    world.note_disturbance(STORE_HOST, for_s=trouble.for_s)
+    store.is_down = True
+    await asyncio.sleep(trouble.for_s)
+    written = dict(store.objects["config"])
+    store.restore(copied_at)
+    store.is_down = False
+    await asyncio.sleep(OPERATOR_DELAY_S)
+    for name, item in written.items():
+        if store.objects["config"].get(name, {}).get("spec") != item["spec"]:
+            store.write("config", name, item["spec"])
+
+
 async def _store_refuses(world: World, trouble: Trouble) -> None:
     """Let the store turn some machines away and serve the others."""
     chosen = {
@@ -350,12 +394,12 @@
         world.store.revision += 1
         await asyncio.sleep(trouble.for_s)
         world.store.texts.remove(text)
+        world.store.revision += 1
     else:
         change = FOREIGN_SPECS[trouble.target % len(FOREIGN_SPECS)]
         world.store.write("servers", "x-2", {**MALFORMED_ENTRY, **change})
         await asyncio.sleep(trouble.for_s)
-        world.store.objects["servers"].pop("x-2", None)
-    world.store.revision += 1
+        world.store.remove("servers", "x-2")
 
 
 async def _promote_late(world: World, trouble: Trouble) -> None:
@@ -376,11 +420,14 @@
     "vm_kill": _kill_vm,
     "all_vms_kill": _kill_all_vms,
     "vm_pause": _pause_vm,
+    "leader_kill": _kill_leader,
+    "leader_pause": _pause_leader,
     "vm_stop": _stop_vm,
     "vm_clock": _step_clock,
     "store_down": _store_down,
     "store_loses_answers": _store_loses,
     "store_refuses_vms": _store_refuses,
+    "store_restored": _restore_store,
     "cut_vm": _cut_vm,
     "cut_vm_from_store": _cut_vm_from_store,
     "cut_vm_from_server": _cut_vm_from_server,
--- a/citronwood/simulation/world.py
+++ b/citronwood/simulation/world.py
@@ -24,7 +24,7 @@
 GROUP, DATABASE, KEY = "almsdb", "pledges", "key-1"
 RESTART_S = 0.4
 GRACE_S = 6.0
-EXPIRY_INTERVAL_S = 0.1
+STORE_INTERVAL_S = 0.1
 
 
 class World:
@@ -67,7 +67,7 @@
         self.write_configuration(self.plan.sync_replicas)
         for vm in self.vms:
             self.start_vm(vm)
-        self.keep(self._expire_entries())
+        self.keep(self._maintain_store())
         callers = [
             Caller(
                 number,
@@ -161,8 +161,9 @@
         """Run a coroutine beside the others until the end of the run."""
         self._tasks.append(self.loop.create_task(coroutine))
 
-    async def _expire_entries(self) -> None:
+    async def _maintain_store(self) -> None:
         while True:
-            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            await asyncio.sleep(STORE_INTERVAL_S)
             if not self.store.is_down:
                 self.store.expire_entries()
+                self.store.keep_copy()
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import subprocess
 import sys
 from pathlib import Path
@@ -30,6 +31,7 @@
 from citronwood.simulation.plan import Plan, Trouble, draw_plan, read_plan, write_plan
 from citronwood.simulation.runner import run_plan
 from citronwood.simulation.search import shrink
+from citronwood.simulation.store import GENERATION_HEADER, Store
 
 PLANS = Path(__file__).parent / "plans"
 SEEDS = range(60)
@@ -453,6 +455,92 @@
     assert bool(broken) == is_broken
 
 
+# The store's model.
+
+
+class _Clock:
+    def __init__(self):
+        self.at = 0.0
+
+    def __call__(self):
+        return self.at
+
+
+def new_store(clock):
+    return Store(random.Random(0), clock)
+
+
+def test_restored_store_gives_the_same_revisions_out_again():
+    clock = _Clock()
+    store = new_store(clock)
+    store.write("config", "main", {"version": 1})
+    store.write_server("i-0", {"seq": 1})
+    store.keep_copy()
+    clock.at = 1.0
+    store.remove("config", "main")
+    store.write_server("i-0", {"seq": 2})
+    store.write_server("i-1", {"seq": 1})
+    lost = store.objects["servers"]["i-1"]["meta"]["revision"]
+    store.keep_copy()
+    store.restore(0.5)
+    assert store.generation == 2
+    assert store.objects["config"]["main"]["spec"] == {"version": 1}
+    assert store.objects["servers"].keys() == {"i-0"}
+    assert store.objects["servers"]["i-0"]["spec"] == {"seq": 1}
+    given_out = {store.write("k", str(n), {})["meta"]["revision"] for n in range(3)}
+    assert lost in given_out
+
+
+def test_copy_does_not_see_what_is_written_after_it_or_after_a_restore():
+    clock = _Clock()
+    store = new_store(clock)
+    store.write_server("i-0", {"seq": 1})
+    store.keep_copy()
+    store.restore(0.0)
+    store.write_server("i-1", {"seq": 1})
+    store.restore(0.0)
+    assert store.objects["servers"].keys() == {"i-0"}
+    assert store.generation == 3
+
+
+def test_entries_that_a_restore_brings_back_expire_again():
+    clock = _Clock()
+    store = new_store(clock)
+    store.write_server("i-0", {"seq": 1})
+    store.keep_copy()
+    store.write_server("i-0", None)
+    clock.at = 2.0
+    store.restore(0.0)
+    clock.at = 5.0
+    store.expire_entries()
+    assert store.objects["servers"].keys() == {"i-0"}
+    clock.at = 6.0
+    store.expire_entries()
+    assert not store.objects["servers"]
+
+
+def test_every_answer_of_the_store_names_its_generation():
+    async def scenario(loop):
+        store = new_store(loop.time)
+        await store.start("10.0.0.2", 80)
+        store.write("config", "main", {})
+        store.write_server("i-0", {})
+        store.keep_copy()
+        store.restore(0.0)
+        answers = []
+        for path in ("config", "config/main", "config/none", "down"):
+            store.is_down = path == "down"
+            text = f"GET /api/objects/{path} HTTP/1.1\r\nHost: s\r\n\r\n"
+            reader, writer = await asyncio.open_connection("10.0.0.2", 80)
+            writer.write(text.encode())
+            head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+            answers.append((head[0].split(" ")[1], f"{GENERATION_HEADER}: 2" in head))
+            writer.close()
+        assert answers == [("200", True), ("200", True), ("404", True), ("503", True)]
+
+    simulate(scenario)
+
+
 # Plans and runs.
 
 
