Test how the client of the store meets a restore

Cause: the client translates the generation of the store into versions, and no test covered a store that comes back from a copy. Change: tests with the store over HTTP: versions across generations, answers without a readable generation, versions from before a restore in updates and removals, creation, pages of two generations and lost answers. The stand-in can send another header and run a call after an answer.

--- a/tests/relay_standins.py
+++ b/tests/relay_standins.py
@@ -166,7 +166,9 @@
     The next ``answers_to_lose`` writes are executed, but their answers are never sent.
     The next ``calls_to_delay`` writes are executed with a delay of 0.6 s.
     ``refusal_statuses`` lists the status codes with which the next calls are refused.
-    All answers name the generation of the store, which counts its restores from a copy.
+    All answers name the generation of the store, which counts its restores from a copy,
+    or have ``generation_text`` instead, if that is set; "" leaves the header out.
+    ``after_answer`` is called once after the next answer.
     """
 
     def __init__(self):
@@ -174,6 +176,8 @@
         self.answers_to_lose = 0
         self.calls_to_delay = 0
         self.refusal_statuses = []
+        self.generation_text = None
+        self.after_answer = None
         # JSON texts of further objects, listed after the others.
         self.foreign_items = []
         self.address = ""
@@ -199,7 +203,14 @@
         await self._runner.cleanup()
 
     async def _add_generation(self, request, response):
-        response.headers["Store-Era"] = str(self.store.generation)
+        text = self.generation_text
+        if text is None:
+            text = str(self.store.generation)
+        if text:
+            response.headers["Store-Era"] = text
+        if self.after_answer is not None:
+            call, self.after_answer = self.after_answer, None
+            call()
 
     def _to_version(self, revision):
         """Return the version for a revision that a call names; 0 stays 0."""
--- a/tests/test_relay_objects.py
+++ b/tests/test_relay_objects.py
@@ -12,11 +12,13 @@
     MessageError,
     ObjectNotFoundError,
     PlatformUnavailableError,
+    StoreRestoredError,
     VersionConflictError,
 )
 from citronwood.metrics import Metrics
 from citronwood.platform.objects import HttpObjectStore
 from citronwood.platform.pages import decode_page
+from citronwood.versions import make_version
 from tests.fleet_helpers import eventually
 from tests.relay_standins import StoreServer
 
@@ -203,3 +205,120 @@
     first, *others = decode_page(cut.encode()).items
     assert (first.meta.name, first.spec) == ("z", None)
     assert others == decode_page(readable.encode()).items
+
+
+def restore(server):
+    """Restore the store from a copy that lacks nothing, so that revisions are equal."""
+    server.store.restore(server.store.copy())
+
+
+def test_versions_name_the_generation_of_the_store(caplog):
+    # Guards against equal versions of different contents, and versions that go back.
+    async def scenario(server, store, metrics):
+        first = await store.put("k", "a", {"x": 1}, 0, deadline_in())
+        for generation in (1, 2):
+            restore(server)
+            expected = make_version(generation, first)
+            assert (await store.get("k", "a", deadline_in())).version == expected
+            listing = await store.list_objects("k", deadline_in())
+            assert listing.objects["a"].version == listing.version == expected
+            with pytest.raises(ObjectNotFoundError) as missing:
+                await store.get("k", "b", deadline_in())
+            assert missing.value.version == make_version(generation, 0)
+        assert metrics.counters["platform.restored"] == 2
+        lines = [each for each in caplog.messages if "the store was restored" in each]
+        assert [line[-1] for line in lines] == ["1", "2"]
+
+    with caplog.at_level("INFO"):
+        run(scenario)
+
+
+def test_store_that_never_names_a_generation_is_used():
+    async def scenario(server, store, metrics):
+        server.generation_text = ""
+        version = await store.put("k", "a", {"x": 1}, 0, deadline_in())
+        assert version == server.store.version
+        await store.put("k", "a", {"x": 2}, version, deadline_in())
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("text", ["", "x", "-1", "1.5"])
+def test_answer_without_a_readable_generation_is_not_used(text):
+    # Guards against content of a restored store that is taken for the former one.
+    async def scenario(server, store, metrics):
+        server.store.put_directly("k", "a", {"x": 1})
+        await store.get("k", "a", deadline_in())
+        server.generation_text = text
+        with pytest.raises(PlatformUnavailableError):
+            await store.get("k", "a", deadline_in())
+        assert metrics.counters["platform.malformed"] == 1
+        server.generation_text = None
+        await store.get("k", "a", deadline_in())
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("is_known", [True, False])
+@pytest.mark.parametrize("call", ["put", "delete"])
+def test_version_from_before_a_restore_does_not_confirm_a_change(call, is_known):
+    # Guards against a condition that holds only because a revision was given out again.
+    async def scenario(server, store, metrics):
+        version = await store.put("k", "a", {"x": 1}, 0, deadline_in())
+        restore(server)
+        if is_known:
+            await store.list_objects("other", deadline_in())
+        arguments = [{"x": 2}, version] if call == "put" else [version]
+        with pytest.raises(StoreRestoredError):
+            await getattr(store, call)("k", "a", *arguments, deadline_in())
+        stored = server.store.objects["k"].get("a")
+        assert (stored is not None and stored.value == {"x": 1}) == is_known
+
+    run(scenario)
+
+
+def test_object_is_created_again_in_a_restored_store():
+    async def scenario(server, store, metrics):
+        empty = server.store.copy()
+        await store.put("k", "a", {"x": 1}, 0, deadline_in())
+        server.store.restore(empty)
+        with pytest.raises(ObjectNotFoundError) as missing:
+            await store.get("k", "a", deadline_in())
+        with pytest.raises(StoreRestoredError):
+            await store.put("k", "a", {"x": 2}, 0, deadline_in())
+        version = missing.value.version
+        version = await store.put("k", "a", {"x": 2}, version, deadline_in())
+        assert version == server.store.objects["k"]["a"].version
+
+    run(scenario)
+
+
+def test_pages_from_before_and_after_a_restore_are_not_joined():
+    # Guards against a list of VMs that lacks some of them in both contents.
+    async def scenario(server, store, metrics):
+        server.page_size = 1
+        for name in "ab":
+            server.store.put_directly("k", name, {})
+        server.after_answer = lambda: restore(server)
+        with pytest.raises(PlatformUnavailableError):
+            await store.list_objects("k", deadline_in())
+        assert len((await store.list_objects("k", deadline_in())).objects) == 2
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("is_kept", [True, False])
+def test_lost_answer_is_not_settled_in_a_restored_store(is_kept):
+    # Guards against an update that is taken as done, or as refused by another writer.
+    async def scenario(server, store, metrics):
+        version = await store.put("k", "a", {"x": 1}, 0, deadline_in())
+        before = server.store.copy()
+        server.answers_to_lose = 1
+        put = store.put("k", "a", {"x": 2}, version, deadline_in(0.4))
+        update = asyncio.create_task(put)
+        await eventually(lambda: server.store.objects["k"]["a"].value == {"x": 2})
+        server.store.restore(server.store.copy() if is_kept else before)
+        with pytest.raises(StoreRestoredError):
+            await update
+
+    run(scenario)
