--- a/citronwood/platform/objects.py
+++ b/citronwood/platform/objects.py
@@ -22,7 +22,7 @@
 from citronwood.metrics import Metrics
 from citronwood.platform.api import ANY_VERSION, Listing, VersionedObject
 from citronwood.platform.pages import StoredObject, decode_object, decode_page
-from citronwood.versions import generation_of, make_version, revision_of
+from citronwood.versions import MAX_GENERATION, generation_of, make_version, revision_of
 
 log = logging.getLogger(__name__)
 
@@ -33,8 +33,6 @@
 MIN_CALL_TIMEOUT_S = 0.05
 # In all answers of the store; rises by one each time it was restored from a copy.
 GENERATION_HEADER = "Store-Era"
-# Versions of later generations do not fit into the 63 bits of messages between VMs.
-MAX_GENERATION_DIGITS = 6
 
 _T = TypeVar("_T")
 
@@ -251,12 +249,10 @@
         """Return the generation that an answer names; log the first of a new one."""
         if text is None and self._generation is None:
             return 0
-        if text is None or not (
-            text.isdecimal() and len(text) <= MAX_GENERATION_DIGITS
-        ):
+        generation = _parse_generation(text)
+        if generation is None:
             self._metrics.count("platform.malformed")
             raise PlatformUnavailableError(f"{label}: malformed generation {text!r}")
-        generation = int(text)
         if self._generation is not None and generation > self._generation:
             self._metrics.count("platform.restored")
             message = f"platform: the store was restored, generation {generation}"
@@ -309,6 +305,15 @@
             raise PlatformUnavailableError(f"malformed answer: {error}") from None
 
 
+def _parse_generation(text: str | None) -> int | None:
+    """Return the generation that a header names; None if it is not usable."""
+    is_number = text is not None and text.isascii() and text.isdecimal()
+    if text is None or not is_number or len(text) > len(str(MAX_GENERATION)):
+        return None
+    generation = int(text)
+    return generation if generation <= MAX_GENERATION else None
+
+
 def _to_versioned(item: StoredObject, generation: int) -> VersionedObject:
     version = make_version(generation, item.meta.revision)
     return VersionedObject(_as_dict(item.spec), version)
--- a/citronwood/versions.py
+++ b/citronwood/versions.py
@@ -6,9 +6,10 @@
 generations are different versions.
 """
 
-# Versions of the first 9,007 generations are below 2**53, so that every implementation
-# of JSON keeps them exactly.
 REVISIONS_PER_GENERATION = 10**12
+# Versions up to this generation are below 2**53, so that every implementation of JSON
+# keeps them exactly.
+MAX_GENERATION = 2**53 // REVISIONS_PER_GENERATION - 1
 
 
 def make_version(generation: int, revision: int) -> int:
--- a/tests/test_relay_objects.py
+++ b/tests/test_relay_objects.py
@@ -243,7 +243,11 @@
     run(scenario)
 
 
-@pytest.mark.parametrize("text", ["", "x", "-1", "1.5"])
+@pytest.mark.parametrize(
+    "text",
+    ["", "x", "-1", "1.5", "\u0661", "10000", "9" * 5000],
+    ids=["missing", "word", "negative", "fraction", "digit", "too high", "too long"],
+)
 def test_answer_without_a_readable_generation_is_not_used(text):
     # Guards against content of a restored store that is taken for the former one.
     async def scenario(server, store, metrics):
