Test the leader election over a restore of the store

Cause: only tests with processes covered a leader, or a VM that takes over, whose store comes back from a copy. Change: tests with a replaced clock: a living leader writes its state again, a copy is taken over after the leases of lost leaders, with the newest known primary and all groups uncertain, and no number is used twice.

--- a/tests/test_relay_leadership.py
+++ b/tests/test_relay_leadership.py
@@ -1,10 +1,15 @@
 """Only one VM is the leader at a time, and each leader has its own fencing token."""
 
 import asyncio
+import json
 
 import pytest
 
-from citronwood.errors import PlatformUnavailableError, VersionConflictError
+from citronwood.errors import (
+    PlatformUnavailableError,
+    StoreRestoredError,
+    VersionConflictError,
+)
 from citronwood.relay import leadership as leadership_module
 from citronwood.relay import view as view_module
 from citronwood.relay.holders import Holder
@@ -19,21 +24,37 @@
     encode_state,
 )
 from citronwood.relay.model import Position
-from citronwood.relay.view import GroupState, PrimaryView
+from citronwood.relay.view import (
+    LEASE_MARGIN_S,
+    LEASE_S,
+    GroupState,
+    PrimaryView,
+)
+from citronwood.versions import make_version
 from tests.fleet_helpers import eventually
 from tests.relay_standins import MemoryStore
 
 
 class Vm:
-    def __init__(self, store, name):
+    def __init__(self, store, name, process=1, is_first_start=True):
         self.view = PrimaryView()
         # The time at which the clock of these tests starts.
         self.view.note_registered(1000.0)
         self.written = []
         self.leadership = Leadership(
-            store, self.view, name, 1, f"tcp://{name}", self._record_write
+            store,
+            self.view,
+            name,
+            process,
+            f"tcp://{name}",
+            self._record_write,
+            is_first_start=is_first_start,
         )
 
+    @property
+    def leads(self):
+        return self.leadership.is_leader
+
     def _record_write(self, state, version):
         self.written.append(state)
 
@@ -187,7 +208,9 @@
         vm = Vm(store, "a")
         await vm.step()
         holders = {"x": Holder(7, Position(1, 2)), "y": Holder(8, Position(0, 0))}
-        group = GroupState("x", 1, True, 3, holders, Position(1, 0), Position(1, 2))
+        group = GroupState(
+            "x", 1, True, 3, holders, Position(1, 0), Position(1, 2), uncertain=True
+        )
         plain = GroupState("z", 1, False, 1)
         await vm.leadership.change_groups(lambda old: {"g": group, "h": plain})
         assert decode_state(encode_state(vm.view.state)) == vm.view.state
@@ -378,6 +401,84 @@
         assert other.leadership.is_leader
         assert other.view.state.groups["g"].uncertain
 
+
+class RestoredFleet:
+    """VMs before a store that is restored; VM a leads first."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.store = MemoryStore()
+        self.empty = self.store.copy()
+        self.vms = {}
+
+    @property
+    def stored(self):
+        """The state in the store."""
+        value = self.store.objects[STATE_KIND][STATE_NAME].value
+        return decode_state(json.dumps(value))
+
+    async def add(self, name, **options):
+        vm = Vm(self.store, name, **options)
+        self.vms.setdefault(name, vm)
+        await vm.step()
+        return vm
+
+    async def set_primary(self, vm, server, term=1):
+        """Record a server as primary of the group g."""
+        change = vm.view.version + 1
+        group = GroupState(server, term, False, change)
+        await vm.leadership.change_groups(lambda old: {**old, "g": group})
+
+    async def start(self, *others):
+        """Return VM a, which leads, and others that know the state."""
+        leader = await self.add("a")
+        await self.set_primary(leader, "x")
+        return [leader, *[await self.add(name) for name in others]]
+
+    async def take_over(self, vm):
+        """Let a VM take over at the first time at which it may."""
+        await vm.step()
+        self.clock[0] += TAKEOVER_TIMEOUT_S + 0.1
+        await vm.step()
+        assert vm.leads
+
+
+@pytest.fixture
+def restored(clock):
+    return RestoredFleet(clock)
+
+
+@pytest.mark.parametrize(
+    ("has_state", "restores"), [(True, 1), (True, 2), (False, 1), (False, 2)]
+)
+def test_living_leader_leads_on_after_a_restore(restored, has_state, restores):
+    # Guards against seconds without a leader, and against its lost changes.
+    async def scenario():
+        leader, other = await restored.start("b")
+        copy = restored.store.copy() if has_state else restored.empty
+        await restored.set_primary(leader, "y")
+        before = leader.view.state
+        for _ in range(restores):
+            restored.store.restore(copy)
+        restored.clock[0] += LEADER_LEASE_S - 0.1
+        start_call, was_leading = restored.store._start_call, []
+
+        def note_leadership(*arguments):
+            was_leading.append(leader.leads)
+            start_call(*arguments)
+
+        restored.store._start_call = note_leadership
+        await leader.step()
+        assert was_leading and all(was_leading) and leader.leads
+        assert restored.stored.restored
+        assert restored.stored.fence > before.fence
+        assert restored.stored.groups == before.groups
+        assert restored.stored.secret == before.secret
+        assert leader.written[-1] == restored.stored
+        await other.step()
+        assert not other.leads
+        assert other.view.state == leader.view.state
+
     asyncio.run(scenario())
 
 
@@ -391,4 +492,181 @@
         assert vm.leadership.is_leader
         assert vm.view.is_current
 
+
+def test_leader_whose_lease_has_ended_waits_like_any_vm(restored):
+    # Guards against a second leader: another VM may have written the state since.
+    async def scenario():
+        (leader,) = await restored.start()
+        restored.store.restore(restored.store.copy())
+        restored.clock[0] += LEADER_LEASE_S
+        await leader.step()
+        restored.clock[0] += TAKEOVER_TIMEOUT_S - 0.1
+        await leader.step()
+        assert not leader.leads and not restored.stored.restored
+        restored.clock[0] += 0.2
+        await leader.step()
+        assert leader.leads and restored.stored.groups["g"].uncertain
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "case", ["unknown", "ended", "known", "resigned", "itself", "missing"]
+)
+def test_copy_is_taken_over_only_after_the_leases_of_lost_leaders(restored, case):
+    # Guards against two leaders: the copy does not name the leader of the lost seconds.
+    async def scenario():
+        leader, known = await restored.start("b")
+        if case == "resigned":
+            await leader.leadership.resign()
+        copy = restored.empty if case == "missing" else restored.store.copy()
+        restored.store.restore(copy)
+        restored.clock[0] += 100.0
+        if case == "known":
+            vm = known
+        elif case == "itself":
+            vm = Vm(restored.store, "a", process=2)
+        else:
+            vm = Vm(restored.store, "c", is_first_start=False)
+        if case in ("ended", "known"):
+            vm.leadership.note_leader_ended("a", 1)
+        await vm.step()
+        restored.clock[0] += TAKEOVER_TIMEOUT_S - 0.1
+        await vm.step()
+        assert not vm.leads
+        restored.clock[0] += 0.2
+        await vm.step()
+        assert vm.leads and restored.stored.restored
+        assert restored.stored.fence > leader.view.state.fence
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("newest_in", ["memory", "copy"])
+def test_take_over_from_a_copy_uses_the_newest_primary_after_a_check(
+    restored, newest_in
+):
+    # Guards against the use of a primary that was replaced in the lost seconds.
+    async def scenario():
+        leader, other = await restored.start("b")
+        copy = restored.store.copy()
+        await restored.set_primary(leader, "y", 2)
+        if newest_in == "memory":
+            await other.step()
+        else:
+            copy = restored.store.copy()
+        restored.store.restore(copy)
+        await other.step()
+        known = other.view.state
+        assert not other.view.is_current
+        assert known.groups["g"].primary == ("y" if newest_in == "memory" else "x")
+        await restored.take_over(other)
+        group = restored.stored.groups["g"]
+        assert (group.primary, group.changing, group.uncertain) == ("y", True, True)
+        assert group.change > leader.view.state.groups["g"].change
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("has_late_update", [True, False])
+def test_numbers_of_leaders_and_changes_are_not_used_again(restored, has_late_update):
+    # Guards against a fencing token with two holders, after one restore or several.
+    async def scenario():
+        (leader,) = await restored.start()
+        copy = restored.store.copy()
+        written = list(leader.written)
+        for generation in range(3):
+            for name in ("b", "c"):
+                vm = await restored.add(f"{name}{generation}")
+                await restored.take_over(vm)
+                await restored.set_primary(vm, name, 2)
+                written += vm.written
+            late = json.loads(encode_state(vm.view.state))
+            restored.store.restore(copy)
+            if has_late_update:
+                restored.store.put_directly(STATE_KIND, STATE_NAME, late)
+        editions = [state.edition for state in written]
+        assert editions == sorted({*editions})
+        assert len({(each.fence, each.leader) for each in written}) == 7
+        assert len({each.fence for each in written}) == 7
+        changes = [each.groups["g"].change for each in written if each.groups]
+        assert changes == sorted(changes)
+
+    asyncio.run(scenario())
+
+
+def test_late_update_from_before_a_restore_does_not_replace_the_state(restored):
+    # Guards against a former primary that a late update of its leader names again.
+    async def scenario():
+        leader, other = await restored.start("b")
+        late = json.loads(encode_state(leader.view.state))
+        restored.store.restore(restored.store.copy())
+        await leader.step()
+        await restored.set_primary(leader, "y", 2)
+        await other.step()
+        restored.store.put_directly(STATE_KIND, STATE_NAME, late)
+        await other.step()
+        assert other.view.named_primary("g") == "y"
+        await leader.step()
+        await leader.step()
+        assert leader.leads and restored.stored.groups["g"].primary == "y"
+
+    asyncio.run(scenario())
+
+
+def test_write_acknowledged_before_a_restore_that_is_known_is_refused(restored):
+    # Guards against a change of primary that is carried out but recorded nowhere.
+    async def scenario():
+        (leader,) = await restored.start()
+        put = restored.store.put
+
+        async def put_before_a_restore(*arguments):
+            written = await put(*arguments)
+            leader.view.note_missing(make_version(1, 0))
+            return written
+
+        restored.store.put = put_before_a_restore
+        before, lease_end = leader.view.state, leader.leadership.lease_until
+        restored.clock[0] += 1.0
+        with pytest.raises(StoreRestoredError):
+            await restored.set_primary(leader, "y", 2)
+        assert leader.view.state == before
+        assert leader.leadership.lease_until == lease_end
+        with pytest.raises(NotLeaderError):
+            await restored.set_primary(leader, "y", 2)
+
+    asyncio.run(scenario())
+
+
+def test_mark_of_a_restore_outlasts_the_leases_from_before(restored):
+    # Guards against a change of primary that does not wait for VMs in no list.
+    async def scenario():
+        (leader,) = await restored.start()
+        restored.store.restore(restored.store.copy())
+        await leader.step()
+        marked_until = restored.clock[0] + LEASE_S + LEASE_MARGIN_S
+        while restored.clock[0] < marked_until - 0.1:
+            assert restored.stored.restored
+            edition = restored.stored.edition
+            restored.clock[0] = min(restored.clock[0] + 1.0, marked_until - 0.1)
+            await leader.step()
+        assert restored.stored.restored
+        restored.clock[0] += 0.2
+        await leader.step()
+        assert not restored.stored.restored
+        assert restored.stored.edition > edition
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("is_first_start", [True, False])
+def test_only_a_new_fleet_starts_at_once_without_a_state(restored, is_first_start):
+    # Guards against two leaders when a restored store has no state.
+    async def scenario():
+        vm = await restored.add("b", is_first_start=is_first_start)
+        assert vm.leads == is_first_start
+        if not is_first_start:
+            await restored.take_over(vm)
+        assert restored.stored.restored != is_first_start
+
     asyncio.run(scenario())
