--- a/tests/test_relay_leadership.py
+++ b/tests/test_relay_leadership.py
@@ -301,7 +301,7 @@
     asyncio.run(scenario())
 
 
-async def restored(clock, *names):
+async def restore_vms(clock, *names):
     """Return a store after a restore, and VMs that knew it before; the first led."""
     store = MemoryStore()
     vms = [Vm(store, name) for name in names]
@@ -319,7 +319,7 @@
     # Guards against a change of primary that does not wait for the leases from before
     # the restore, because the leader had counted from its first take-over.
     async def scenario():
-        store, (vm,) = await restored(clock, "a")
+        store, (vm,) = await restore_vms(clock, "a")
         store.answers_to_lose = 1
         await vm.step()
         while not vm.view.is_current:
@@ -336,7 +336,7 @@
 def test_leader_continues_with_its_token_after_a_restore(clock):
     # Guards against a promotion with a lower token that arrives after one with a new.
     async def scenario():
-        _, (vm, other) = await restored(clock, "a", "b")
+        _, (vm, other) = await restore_vms(clock, "a", "b")
         fence = vm.leadership.fence
         await vm.step()
         assert vm.leadership.is_leader
@@ -484,7 +484,7 @@
 
 def test_leader_goes_on_after_a_late_update_of_an_earlier_generation(clock):
     async def scenario():
-        store, (vm,) = await restored(clock, "a")
+        store, (vm,) = await restore_vms(clock, "a")
         old_content = store.objects[STATE_KIND][STATE_NAME].value
         await vm.step()
         store.put_directly(STATE_KIND, STATE_NAME, old_content)
@@ -670,3 +670,17 @@
         assert restored.stored.restored != is_first_start
 
     asyncio.run(scenario())
+
+
+def test_living_leader_does_not_replace_another_in_the_restored_store(restored):
+    # Guards against two leaders if one leads in the restored store already.
+    async def scenario():
+        (leader,) = await restored.start()
+        restored.store.restore(restored.empty)
+        other = await restored.add("b")
+        assert other.leads
+        await leader.step()
+        assert not leader.leads
+        assert restored.stored.leader == "b"
+
+    asyncio.run(scenario())
