Test leases and registrations over a restore of the store

Cause: a state or a registration from before a restore must neither give a lease nor replace what a VM knows, and no test covered that. Change: tests of the view and of the list of VMs with a replaced clock. A late removal is also executed by its revision alone, as the store compares it.

--- a/tests/test_relay_registry.py
+++ b/tests/test_relay_registry.py
@@ -20,6 +20,7 @@
 )
 from citronwood.relay.view import MAX_LAPSE_S, PrimaryView
 from citronwood.tasks import cancel_tasks
+from citronwood.versions import make_version
 from tests.fleet_helpers import eventually
 from tests.relay_standins import MemoryStore
 
@@ -84,12 +85,16 @@
         self._late.append((call, arguments))
         raise PlatformUnavailableError("no answer")
 
-    async def execute_late_writes(self):
-        """Execute the writes whose condition still holds."""
+    async def execute_late_writes(self, version_offset=0):
+        """Execute the writes whose condition still holds.
+
+        The store only compares revisions: an offset translates the expected versions
+        into those of a restored store.
+        """
         assert self._late
-        for call, arguments in self._late:
+        for call, (*arguments, version, deadline) in self._late:
             try:
-                await call(*arguments)
+                await call(*arguments, version + version_offset, deadline)
             except VersionConflictError:
                 continue
 
@@ -101,6 +106,7 @@
         monkeypatch.setattr(view_module, "now", lambda: self.time)
         monkeypatch.setattr(registry_module, "VM_LIST_INTERVAL_S", 0.01)
         monkeypatch.setattr(registry_module, "ABSENT_LIST_INTERVAL_S", 0.01)
+        monkeypatch.setattr(registry_module, "MAX_REGISTRATION_DELAY_S", 0.01)
         self.store = MemoryStore()
         self.view = FakeView()
         self.leadership = FakeLeadership(self.view)
@@ -120,6 +126,11 @@
             lambda: self.is_deputy,
         )
 
+    def restore(self, copy):
+        """Restore the store, and let this VM learn of it."""
+        self.store.restore(copy)
+        self.view.note_missing(make_version(self.store.generation, 0))
+
     def own_process(self):
         """Return the id in the entry of this VM; None without an entry."""
         stored = self.store.objects.get(VM_KIND, {}).get("me")
@@ -389,3 +400,60 @@
     assert share_of_stronger(peers, "weak") == pytest.approx(2 / 3)
     assert share_of_stronger(peers, "strong") == 0
     assert share_of_stronger(peers, "unknown") == 0
+
+
+@pytest.mark.parametrize("is_in_copy", [True, False])
+def test_vm_registers_again_in_a_restored_store_and_keeps_its_lease(world, is_in_copy):
+    # Guards against a change of primary that does not wait for this VM, and against
+    # callers that are refused because of a restore.
+    async def scenario():
+        empty = world.store.copy()
+        task = asyncio.create_task(world.registry.register())
+        await eventually(lambda: world.registry.is_registered)
+        process = world.own_process()
+        world.view.renew_lease(world.time)
+        lease_end = world.view.valid_until
+        assert world.view.is_valid
+        world.restore(world.store.copy() if is_in_copy else empty)
+        assert world.view.is_registration_lost
+        await eventually(lambda: not world.view.is_registration_lost)
+        assert world.own_process() not in (None, process)
+        assert world.view.valid_until == lease_end
+        assert world.view.is_registered
+        await cancel_tasks([task])
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("later_process", [None, 99])
+def test_stop_in_a_restored_store_removes_only_the_entry_of_the_process(
+    world, later_process
+):
+    # Guards against a list without a VM that uses primaries, or with one that has left.
+    async def scenario():
+        await register(world.registry)
+        world.restore(world.store.copy())
+        if later_process is not None:
+            world.add_entry("me", later_process)
+        await world.registry.unregister()
+        assert world.own_process() == later_process
+
+    asyncio.run(scenario())
+
+
+def test_removal_that_is_executed_after_a_restore_keeps_the_entry(world):
+    # Guards against a removal by the revision that the earlier process knew.
+    async def scenario():
+        late_store = LateStore(world.store)
+        earlier = world.new_registry(late_store)
+        await register(earlier)
+        copy = world.store.copy()
+        late_store.loses_answers = True
+        await earlier.unregister()
+        world.restore(copy)
+        await register(world.registry)
+        process = world.own_process()
+        await late_store.execute_late_writes(make_version(1, 0))
+        assert world.own_process() == process
+
+    asyncio.run(scenario())
--- a/tests/test_relay_view.py
+++ b/tests/test_relay_view.py
@@ -6,6 +6,7 @@
 from citronwood.relay.model import Position
 from citronwood.relay.positions import GroupPositions
 from citronwood.relay.view import LEASE_S, FleetState, GroupState, PrimaryView
+from citronwood.versions import make_version
 
 
 class Clock:
@@ -29,9 +30,10 @@
     return view
 
 
-def state(primary="a", term=1, changing=False, change=1):
-    group = GroupState(primary, term, changing, change)
-    return FleetState(1, "vm", "", 1, 1, "", "", {"g": group}, {})
+def state(primary="a", term=1, changing=False, change=1, generation=0):
+    group = GroupState(primary, term, changing, make_version(generation, change))
+    edition = make_version(generation, 1)
+    return FleetState(edition, "vm", "", 1, 1, "", "", {"g": group}, {})
 
 
 def test_lease_ends_even_for_a_vm_that_was_paused(clock):
@@ -146,3 +148,71 @@
     assert view.change_seen_at("g") == began_at
     view.update_state(state("b", 2, changing=True, change=3), 4)
     assert view.change_seen_at("g") == clock.time
+
+
+# First version of a store that was restored once.
+RESTORED = make_version(1, 1)
+
+
+def test_state_of_a_copy_is_not_used(clock):
+    # Guards against a primary that was replaced in the lost seconds.
+    view = registered_view()
+    view.update_state(state("b", 2, change=2), 5)
+    view.renew_lease(clock.time)
+    lease_end = view.valid_until
+    clock.time += 1.0
+    view.update_state(state("a", 1), RESTORED)
+    view.renew_lease(clock.time)
+    assert (view.primary_of("g"), view.valid_until) == ("b", lease_end)
+    view.note_registered(clock.time, 1)
+    view.renew_lease(clock.time)
+    assert (view.primary_of("g"), view.valid_until) == ("b", lease_end)
+    view.update_state(state("c", 3, generation=1), RESTORED + 1)
+    view.renew_lease(clock.time)
+    assert view.primary_of("g") == "c"
+    assert view.valid_until == lease_end + 1.0
+
+
+@pytest.mark.parametrize("generation", [0, 2])
+def test_registration_of_another_generation_gives_no_lease(clock, generation):
+    # Guards against a change of primary in a store whose list of VMs lacks this one.
+    view = PrimaryView()
+    view.note_registered(clock.time, generation)
+    view.update_state(state(generation=1), RESTORED)
+    view.renew_lease(clock.time)
+    assert not view.is_valid
+    assert view.is_registration_lost == (generation == 0)
+    view.note_registered(clock.time, 1)
+    view.renew_lease(clock.time)
+    assert view.primary_of("g") == "a"
+
+
+def test_missing_state_neither_replaces_the_known_one_nor_gives_a_lease(clock):
+    view = registered_view()
+    view.update_state(state(), 5)
+    view.note_missing(make_version(1, 0))
+    view.note_missing(make_version(0, 9))
+    view.renew_lease(clock.time)
+    assert (view.state, view.version) == (state(), make_version(1, 0))
+    assert not view.is_valid and not view.is_current
+
+
+def test_order_to_block_from_before_a_restore_is_ignored_after_it(clock):
+    # Guards against a group that stays blocked, because its change has a high revision.
+    view = registered_view()
+    view.fence("g", 900)
+    view.update_state(state("b", 2, generation=1), RESTORED)
+    view.note_registered(clock.time, 1)
+    view.renew_lease(clock.time)
+    view.fence("g", 900)
+    assert view.primary_of("g") == "b"
+
+
+def test_newest_primary_is_kept_beside_an_older_one_in_the_restored_store(clock):
+    # Guards against a change of primary that no VM remembers.
+    view = registered_view()
+    view.update_state(state("b", 2), 5)
+    view.update_state(state("a", 1, changing=True, generation=1), RESTORED)
+    assert view.named_primary("g") == "a"
+    assert view.newest_primary("g") == (2, "b")
+    assert view.newest_primary("other")[0] == -1
