Give no lease on a copy to a VM that knows nothing else

Cause: a VM that has read only a state of an earlier generation was treated like one that has read none, and its lease began; a state that arrived within it was used although the read had not confirmed it. Change: it has no lease until it knows a state of the current generation.

--- a/citronwood/relay/view.py
+++ b/citronwood/relay/view.py
@@ -133,8 +133,8 @@
 
     @property
     def _is_lease_allowed(self) -> bool:
-        is_usable = self._state is None or self.is_current
-        return is_usable and (
+        is_unknown = self._state is None and self._restored_state is None
+        return (is_unknown or self.is_current) and (
             self._registered_generation == generation_of(self._version)
         )
 
--- a/tests/test_relay_view.py
+++ b/tests/test_relay_view.py
@@ -173,6 +173,16 @@
     assert view.valid_until == lease_end + 1.0
 
 
+def test_copy_gives_no_lease_to_a_new_process(clock):
+    view = PrimaryView()
+    view.note_registered(clock.time, 1)
+    view.update_state(state(), RESTORED)
+    view.renew_lease(clock.time)
+    assert not view.is_valid
+    assert view.state is None
+    assert view.newest_knowledge == state()
+
+
 @pytest.mark.parametrize("generation", [0, 2])
 def test_registration_of_another_generation_gives_no_lease(clock, generation):
     # Guards against a change of primary in a store whose list of VMs lacks this one.
