--- a/tests/test_relay_holders.py
+++ b/tests/test_relay_holders.py
@@ -5,6 +5,7 @@
 import pytest
 
 from citronwood.errors import ConnectionLostError, DeadlineExceededError
+from citronwood.relay import fencing as fencing_module
 from citronwood.relay.fencing import MAX_COMMIT_CALLS, FencedVm, Fencing
 from citronwood.relay.holders import (
     Holder,
@@ -18,8 +19,11 @@
 from citronwood.relay.model import BackendServer, Position, Role
 from citronwood.relay.pool import ServerPool, SessionSettings
 from citronwood.relay.positions import NewestCommits
-from citronwood.relay.registry import RegisteredVm
+from citronwood.relay.registry import RegisteredVm, VmListing
 from citronwood.relay.statement import Answer, Statement, TransactionState, Verb
+from citronwood.relay.view import LEASE_MARGIN_S, LEASE_S
+from citronwood.versions import make_version
+from tests.virtual_time import run_virtually
 
 
 def server(name, started_at=1):
@@ -169,6 +173,30 @@
     assert collect({"vm1": answer}, {"vm1": 7}, rpc=rpc) is None
 
 
+@pytest.mark.parametrize(
+    ("is_list_complete", "generation", "waits"),
+    [(True, 1, False), (False, 1, True), (True, 0, True), (True, 2, True)],
+)
+def test_all_leases_are_waited_for_if_the_list_of_vms_may_lack_some(
+    is_list_complete, generation, waits
+):
+    # Guards against a primary that a VM uses whose entry a restored store lacks.
+    async def scenario(loop):
+        async def list_vms():
+            return VmListing([], generation)
+
+        async def fence_locally(_):
+            return
+
+        fencing = Fencing("vm0", None, list_vms, never_ended, fence_locally, None)
+        change, written_at = make_version(1, 5), loop.time()
+        await fencing.block("g", change, written_at, is_list_complete)
+        return loop.time() - written_at
+
+    expected = LEASE_S + LEASE_MARGIN_S if waits else 0.0
+    assert run_virtually(scenario, fencing_module) == pytest.approx(expected)
+
+
 def test_newest_commit_is_unknown_after_a_commit_without_a_position():
     commits = NewestCommits()
     assert commits.of_group("g") == Position(0, 0)
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -14,7 +14,8 @@
     loop = VirtualLoop()
     with pytest.MonkeyPatch.context() as patch:
         for module in (deadline_module, *modules):
-            patch.setattr(module, "monotonic", loop.time)
+            clock = "monotonic" if hasattr(module, "monotonic") else "now"
+            patch.setattr(module, clock, loop.time)
         try:
             return loop.run_until_complete(scenario(loop))
         finally:
