Test feeds, settings, secret and callers over a restore of the store

Cause: what a VM applies from a restored store, and what callers notice while the leader lives, had no test without processes.

--- a/tests/test_inner_rpc.py
+++ b/tests/test_inner_rpc.py
@@ -147,6 +147,22 @@
     run(scenario())
 
 
+def test_secret_is_changed_while_connections_are_open():
+    # Guards against VMs that stay cut off after a restored store got another secret.
+    async def scenario():
+        async with rpcs("a", "b") as (a, b):
+            b.on_call(Question, answer)
+            await a.call(b.url, Question(1), Solution, deadline_in(5))
+            b.set_secret(b"another one")
+            with pytest.raises(DeadlineExceededError):
+                await a.call(b.url, Question(2), Solution, deadline_in(0.2))
+            a.set_secret(b"another one")
+            reply = await a.call(b.url, Question(3), Solution, deadline_in(5))
+            assert reply.number == 6
+
+    run(scenario())
+
+
 def test_oversized_messages_are_refused_by_the_sender():
     async def scenario():
         async with rpcs("a", "b") as (a, b):
--- a/tests/test_relay_feeds.py
+++ b/tests/test_relay_feeds.py
@@ -8,12 +8,14 @@
 
 from citronwood.errors import MessageError, PeerUnavailableError
 from citronwood.inner.rpc import Caller
+from citronwood.metrics import Metrics
+from citronwood.platform.objects import HttpObjectStore
 from citronwood.relay import feeds as feeds_module
 from citronwood.relay.clock import now
 from citronwood.relay.feeds import Feed
 from citronwood.relay.follower import MAX_DIRECT_COPIES, FeedFollower
 from citronwood.relay.messages import AskFeed
-from tests.relay_standins import MemoryStore
+from tests.relay_standins import MemoryStore, StoreServer
 
 KIND = "config"
 VM_COUNT = 60
@@ -198,3 +200,33 @@
         assert other._content == leader._content == {"version": 8}
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("kind", ["config", "servers"])
+def test_content_of_a_restored_store_is_applied_at_lower_revisions(kind):
+    # Guards against VMs that ignore keys or servers until the revisions are high again.
+    async def scenario():
+        async with (
+            StoreServer() as server,
+            HttpObjectStore(server.address, Metrics()) as store,
+        ):
+            feeds = [
+                Feed(kind, lambda listing: dict(listing.objects), lambda _: None)
+                for _ in range(2)
+            ]
+
+            async def publish(number):
+                server.store.put_directly(kind, "main", {"number": number})
+                await feeds[0].poll(store, now() + 2.0)
+                feeds[1].receive(feeds[0].version, feeds[0].encode())
+                for feed in feeds:
+                    assert feed._content["main"].value == {"number": number}
+
+            await publish(1)
+            copy = server.store.copy()
+            for number in range(2, 6):
+                await publish(number)
+            server.store.restore(copy)
+            await publish(6)
+
+    asyncio.run(scenario())
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -314,6 +314,30 @@
     run(scenario)
 
 
+def test_older_configuration_of_a_copy_is_not_put_in_force():
+    # Guards against a withdrawn key that is in use again after a restore.
+    async def scenario():
+        store = MemoryStore()
+        node = Vm("vm0", store, Group("orders")).node
+        (feed,) = (
+            each for each in node._feeds._feeds.values() if each.kind == "config"
+        )
+
+        async def rules_after(version):
+            store.put_directly("config", "main", configuration(version))
+            await feed.poll(store, 0.0)
+            return node.rules.version
+
+        assert await rules_after(1) == 1
+        copy = store.copy()
+        assert await rules_after(2) == 2
+        store.restore(copy)
+        assert await rules_after(1) == 2
+        assert await rules_after(3) == 3
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.realtime
 def test_vm_reads_the_configuration_when_the_leader_cannot():
     # Guards against VMs that wait for the leader's copy while the store refuses the
@@ -1032,3 +1056,27 @@
         store.unavailable = False
 
     run(scenario)
+
+
+@pytest.mark.realtime
+def test_callers_do_not_notice_a_restore_while_the_leader_lives():
+    # Guards against leases that end because the store has lost the state and the VMs.
+    async def scenario(vms, store, group):
+        caller = await Caller.connect(vms[1].port)
+        processes = {vm.value["process"] for vm in registered(store).values()}
+        empty = store.copy()._replace(objects={})
+        store.restore(empty)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + LEASE_S + 1.0
+        while loop.time() < end:
+            lines, _ = await caller.execute("WRITE x 1")
+            assert lines[0].startswith("DONE")
+            await asyncio.sleep(0.05)
+        again = {vm.value["process"] for vm in registered(store).values()}
+        assert len(again - processes) == len(vms)
+        assert group.promotions == []
+
+    def registered(store):
+        return store.objects["citronwood-vms"]
+
+    run(scenario)
--- a/tests/test_relay_records.py
+++ b/tests/test_relay_records.py
@@ -139,6 +139,15 @@
     assert settings.grace_s == 6.0
 
 
+@pytest.mark.parametrize(
+    ("line", "expected"),
+    [("", False), ("bootstrap=true\n", True), ("bootstrap=false\n", False)],
+)
+def test_fleet_starts_for_the_first_time_only_if_the_settings_say_so(line, expected):
+    # Guards against two leaders when a restored store has no state.
+    assert parse(parse_fields(SETTINGS + line)).is_first_start is expected
+
+
 def test_all_findings_of_a_settings_file_are_reported():
     fields = parse_fields(SETTINGS.replace("10.200.1.7:8466", "nowhere"))
     del fields["node"]
