--- a/tests/test_relay_succession.py
+++ b/tests/test_relay_succession.py
@@ -175,7 +175,7 @@
         )
 
 
-def supervise(members, recorded, sync_replicas=0, fenced=None):
+def supervise(members, recorded, sync_replicas=0, fenced=None, delay_s=0.0):
     """Let the new leader check the group; return the group and the time it took."""
 
     async def scenario(loop):
@@ -183,6 +183,7 @@
         group.fenced = fenced or {}
         async with group.leader(recorded) as checks:
             assert recorded is None or group.state.uncertain
+            await asyncio.sleep(delay_s)
             started_at = loop.time()
             await checks._supervise_group("g")
             took_s = loop.time() - started_at
@@ -267,3 +268,10 @@
     # Guards against a primary that is recorded while VMs use the one of lost seconds.
     group, _ = supervise([Member("p1", leads=True)], None)
     assert group.state is None
+
+
+def test_primary_of_the_newest_term_is_adopted_if_the_store_lost_the_group():
+    # Guards against a former primary that is listed first and claims to lead.
+    members = [Member("p1", leads=True), Member("p2", 2, True, (2, 7)), Member("r")]
+    group, _ = supervise(members, None, delay_s=LEASE_S + 2.0)
+    assert (group.state.primary, group.state.term) == ("p2", 2)
