Remove the entry of a stopping VM that has not heard of a restore

Cause: the removal names the version that the store acknowledged. A restored store refuses it, and that was taken as a change by a later process, so that the entry of a VM that has left stayed until it was removed as absent. Change: the entry is then removed like that of a VM that knows of the restore. Measured: the new case fails before the change and passes with it; 22 tests of the file passed, and mypy.

--- a/citronwood/relay/registry.py
+++ b/citronwood/relay/registry.py
@@ -17,6 +17,7 @@
 from citronwood.errors import (
     ObjectNotFoundError,
     PlatformError,
+    StoreRestoredError,
     VersionConflictError,
 )
 from citronwood.platform.api import Listing, ObjectStore
@@ -203,15 +204,24 @@
         """
         self._registered = False
         try:
-            if self._entry_version and not self._view.is_registration_lost:
-                await self._delete_entry(self._name, self._entry_version)
-            else:
-                # A registration whose answer was lost may have taken effect, and a
-                # restored store may have an entry with another version.
-                await self._remove_entry(self._name, self._registration_id)
+            await self._remove_own_entry()
         except PlatformError as error:
             log_state(log, "unregister", "failed", f"fleet: {error}")
 
+    async def _remove_own_entry(self) -> None:
+        if self._entry_version and not self._view.is_registration_lost:
+            try:
+                await self._delete_entry(self._name, self._entry_version)
+            except StoreRestoredError:
+                log_state(
+                    log, "unregister", "repeated", "fleet: the store was restored"
+                )
+            else:
+                return
+        # A registration whose answer was lost may have taken effect, and a restored
+        # store may have an entry with another version.
+        await self._remove_entry(self._name, self._registration_id)
+
     async def follow(self) -> None:
         """Read the list of VMs periodically, without end.
 
@@ -403,6 +413,8 @@
             await self._store.delete(
                 VM_KIND, name, version, deadline_in(STORE_CALL_TIMEOUT_S)
             )
+        except StoreRestoredError:
+            raise
         except VersionConflictError:
             log_state(
                 log,
--- a/tests/test_relay_registry.py
+++ b/tests/test_relay_registry.py
@@ -425,14 +425,16 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("is_known", [True, False])
 @pytest.mark.parametrize("later_process", [None, 99])
 def test_stop_in_a_restored_store_removes_only_the_entry_of_the_process(
-    world, later_process
+    world, later_process, is_known
 ):
     # Guards against a list without a VM that uses primaries, or with one that has left.
     async def scenario():
         await register(world.registry)
-        world.restore(world.store.copy())
+        restore = world.restore if is_known else world.store.restore
+        restore(world.store.copy())
         if later_process is not None:
             world.add_entry("me", later_process)
         await world.registry.unregister()
