Know no newest commit while a restored store may not list all VMs

Cause: shortly after a restore, the newest commit of a group was taken from the VMs of a list that may lack some. One that holds a lease from before and does not report to the leader could acknowledge a commit afterwards, and a server without that commit was promoted (sync_replicas 1). Change: the position of a primary and the processes are not recorded until the mark of the restore is dropped, and a change then forgets them. It waits for enough reports instead.

--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -97,6 +97,12 @@
         self._was_leader = False
         self._stopping = False
 
+    @property
+    def _may_vms_be_unlisted(self) -> bool:
+        """Whether VMs that a restored store does not list may use primaries."""
+        state = self._view.state
+        return state is None or state.restored
+
     async def stop(self) -> None:
         """End all changes of primary, which another leader may continue."""
         self._stopping = True
@@ -139,9 +145,12 @@
                 log.exception("group: %s: unexpected error", group)
 
     async def _adopt_primary(self, group: str) -> None:
-        """Record the server that reports itself as primary of a new group."""
-        state = self._view.state
-        if state is not None and state.restored:
+        """Record the server that leads the newest term of a new group.
+
+        A group is also new if a restored store has lost it; a former primary that is
+        cut off from the others may then claim to lead, too.
+        """
+        if self._may_vms_be_unlisted:
             # VMs may use a primary that was recorded after the copy was made.
             return
         listed = self._servers.of_group(group)
@@ -235,6 +244,10 @@
         self, report: Report, asked_at: float, processes: dict[str, int | None]
     ) -> None:
         server = report.server
+        if self._may_vms_be_unlisted:
+            # Their processes are not known, nor what they acknowledge from now on.
+            self._observations.pop(server.group, None)
+            return
         self._observations[server.group] = _Observation(
             server.id, report.received, asked_at, processes
         )
@@ -275,8 +288,9 @@
 
     async def _replace_primary(self, group: str, current: GroupState) -> None:
         written_at = self._view.change_seen_at(group)
-        state = self._view.state
-        is_list_complete = state is not None and not state.restored
+        is_list_complete = not self._may_vms_be_unlisted
+        if not is_list_complete:
+            self._observations.pop(group, None)
         blocked = self._fencing.block(
             group, current.change, written_at, is_list_complete
         )
@@ -287,8 +301,7 @@
             current = self._with_newest_primary(group, current, fenced, known)
         else:
             fenced = await blocked
-        if is_list_complete:
-            current = await self._note_newest_commit(group, current, written_at, fenced)
+        current = await self._note_newest_commit(group, current, written_at, fenced)
         new = await self._succession.promote_lasting(group, current)
         await self._write_group(group, new)
         log_state(
--- a/tests/test_relay_succession.py
+++ b/tests/test_relay_succession.py
@@ -143,9 +143,14 @@
         async def return_false(_):
             return False
 
+        def newest_commit(_):
+            return Position(1, 5)
+
         peer = Peer("b", "b", "z")
         vms = VmRegistry(self.store, self.view, leader, peer, print, return_none)
-        fence = Fencing("b", self, vms.list_vms, return_false, return_none, return_none)
+        fence = Fencing(
+            "b", self, vms.list_vms, return_false, return_none, newest_commit
+        )
 
         def sync_replicas(_):
             return self._sync_replicas
@@ -275,3 +280,30 @@
     members = [Member("p1", leads=True), Member("p2", 2, True, (2, 7)), Member("r")]
     group, _ = supervise(members, None, delay_s=LEASE_S + 2.0)
     assert (group.state.primary, group.state.term) == ("p2", 2)
+
+
+def test_newest_commit_is_unknown_while_vms_may_be_missing_in_the_list():
+    # Guards against the loss of a commit that a VM in no list has acknowledged.
+    p1, r, ahead = Member("p1", leads=True), Member("r"), Member("ahead")
+    holders = {name: Holder(1, Position(1, 5)) for name in ("p1", "r", "ahead")}
+    copy = recorded(holders=holders, began_at=Position(1, 0))
+
+    async def scenario(loop):
+        group = GroupOfRestoredStore(loop, [p1, r, ahead], sync_replicas=1)
+        living = group._new_leadership("b", group.view)
+        await living._step()
+        await living.change_groups(lambda _: {"g": copy})
+        tasks = [asyncio.create_task(living.run())]
+        group.store.restore(group.store.copy())
+        await asyncio.sleep(1.5)
+        checks = group._new_failover(living)
+        tasks.append(asyncio.create_task(checks.run()))
+        await asyncio.sleep(1.0)
+        # Another VM acknowledges a commit, which only these two servers have.
+        p1.position = ahead.position = Position(1, 6)
+        p1.away_until, ahead.away_until = 1e9, loop.time() + 20.0
+        await asyncio.sleep(30.0)
+        await cancel_tasks([*tasks, *checks._tasks.values()])
+        assert group.promoted == ["ahead"]
+
+    run_virtually(scenario, *MODULES)
