Ask for the newest term once the leases have ended

Cause: servers were asked for their terms while the leases were waited for. One that was silent then counted as lost, although it led the newest term and answered later, and a primary that is kept elsewhere was asked to be promoted, which changes nothing. The primary in the record was not told to step down if its successor was found by term alone. Change: the terms are asked for after the leases.

--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -31,7 +31,7 @@
 from citronwood.relay.probes import STATUS_TIMEOUT_S, Probes
 from citronwood.relay.registry import RegisteredVm, VmRegistry
 from citronwood.relay.servers import Servers
-from citronwood.relay.succession import RECENT_ANSWER_S, KnownTerms, Succession
+from citronwood.relay.succession import RECENT_ANSWER_S, NewestTerm, Succession
 from citronwood.relay.view import GroupState, PrimaryView
 from citronwood.tasks import cancel_tasks
 from citronwood.versions import number_after
@@ -291,16 +291,14 @@
         is_list_complete = not self._may_vms_be_unlisted
         if not is_list_complete:
             self._observations.pop(group, None)
-        blocked = self._fencing.block(
+        fenced = await self._fencing.block(
             group, current.change, written_at, is_list_complete
         )
+        former_primaries = {current.primary}
         if current.uncertain:
-            fenced, known = await asyncio.gather(
-                blocked, self._succession.known_terms(group, current)
-            )
+            known = await self._succession.newest_term(group, current)
             current = self._with_newest_primary(group, current, fenced, known)
-        else:
-            fenced = await blocked
+            former_primaries.add(current.primary)
         current = await self._note_newest_commit(group, current, written_at, fenced)
         new = await self._succession.promote_lasting(group, current)
         await self._write_group(group, new)
@@ -316,29 +314,29 @@
             term=new.term,
             took_ms=round((now() - written_at) * 1000),
         )
-        if current.primary != new.primary:
-            self._succession.step_down_later(current.primary, new.term)
+        for server in former_primaries - {new.primary, ""}:
+            self._succession.step_down_later(server, new.term)
 
     def _with_newest_primary(
         self,
         group: str,
         current: GroupState,
         fenced: list[FencedVm],
-        known: KnownTerms,
+        known: NewestTerm,
     ) -> GroupState:
-        """Return an uncertain group as the newest that any VM has known.
+        """Return an uncertain group as the newest that any VM or server has known.
 
-        If a server knows a newer term than that, the name of the primary is empty. If
-        not all servers have answered, one of which the others have not heard may lead;
-        the change then is like any other, and a server is promoted.
+        The name of the primary is empty if a server knows a newer term, but none leads
+        it. If not all servers have answered, one of which the others have not heard may
+        lead; the change then is like any other, and a server is promoted.
         """
         own = self._view.newest_group(group)
         groups = [current, *(entry.newest for entry in fenced), own]
         newest = max(
             (each for each in groups if each is not None), key=lambda each: each.term
         )
-        if known.newest > newest.term:
-            newest = newest._replace(primary="", term=known.newest)
+        if known.term > newest.term:
+            newest = newest._replace(primary=known.primary, term=known.term)
         if newest.term > current.term:
             log_state(
                 log,
@@ -354,7 +352,7 @@
             changing=True,
             change=current.change,
             newest_commit=None,
-            uncertain=known.is_complete,
+            uncertain=known.is_complete or not newest.primary,
         )
 
     async def _note_newest_commit(
--- a/citronwood/relay/leadership.py
+++ b/citronwood/relay/leadership.py
@@ -55,6 +55,9 @@
 STORE_CALL_TIMEOUT_S = 0.8
 LEADER_LEASE_S = 2.5
 TAKEOVER_TIMEOUT_S = 3.5
+# The same in a store that was restored from a copy, where only the lease of a leader
+# from before is waited for.
+RESTORED_TAKEOVER_TIMEOUT_S = LEADER_LEASE_S + LEASE_MARGIN_S
 # Upper bound of the random delay that spreads the takeover attempts of several VMs.
 MAX_TAKEOVER_JITTER_S = 0.3
 # The same when the leader's process has ended; its end is noticed at different times.
@@ -479,11 +482,10 @@
         since_renewal_s = now() - self._renewal_seen_at
         is_first = state is None and self._is_first_start
         ended = is_first or (is_current and self._has_leader_ended(state))
-        # In a restored store, only the lease of an earlier leader is waited for. VMs
-        # that know of a state go before those that don't.
         timeout_s = TAKEOVER_TIMEOUT_S
+        # VMs that know of a state take over before those that don't.
         if state is not None and not is_current:
-            timeout_s = LEADER_LEASE_S + LEASE_MARGIN_S
+            timeout_s = RESTORED_TAKEOVER_TIMEOUT_S
         if not ended and since_renewal_s < timeout_s:
             return
         if state is None:
--- a/citronwood/relay/succession.py
+++ b/citronwood/relay/succession.py
@@ -73,10 +73,15 @@
         ...
 
 
-class KnownTerms(NamedTuple):
-    """Newest term that the servers of a group know, and whether all have answered."""
+class NewestTerm(NamedTuple):
+    """Newest term that the servers of a group know.
 
-    newest: int
+    ``primary`` is the server that leads it, empty if none says so. ``is_complete``
+    tells whether all listed servers have answered.
+    """
+
+    term: int
+    primary: str
     is_complete: bool
 
 
@@ -135,21 +140,24 @@
         finally:
             self._note_awaited(group, [])
 
-    async def known_terms(self, group: str, change: GroupState) -> KnownTerms:
+    async def newest_term(self, group: str, change: GroupState) -> NewestTerm:
         """Return the newest term that any server of an uncertain group knows.
 
         Servers that do not answer are waited for a while, because one that was promoted
         after the copy of the store was made may be among them.
         """
-        newest = change.term
-        give_up_at = now() + OLD_PRIMARY_EXCLUSION_S
+        started_at = now()
         while True:
             probed = await self._probe_group(group, _without_step_down(change))
-            newest = max([newest, *(answer.probe.status.term for answer in probed)])
-            listed = self._servers.of_group(group)
-            is_complete = bool(probed) and len(probed) == len(listed)
-            if is_complete or now() >= give_up_at:
-                return KnownTerms(newest, is_complete)
+            term = max(
+                (answer.probe.status.term for answer in probed), default=change.term
+            )
+            leading = _newest_primary(probed, term - 1)
+            primary = "" if leading is None else leading.server.id
+            is_complete = len(probed) == len(self._servers.of_group(group)) > 0
+            timeout_s = RECENT_ANSWER_S if primary else OLD_PRIMARY_EXCLUSION_S
+            if is_complete or now() >= started_at + timeout_s:
+                return NewestTerm(term, primary, is_complete)
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def _promote_lasting(self, group: str, change: GroupState) -> GroupState:
