Divide limits by no fewer VMs while a restored store may not list all

Cause: the number of VMs by which rates and connections are divided comes from the list of VMs. After a restore to a copy that lacks registrations it fell for up to the interval of 4 s, so that each VM took a larger share. Change: a list whose restore is not known yet is not counted, and a known number does not fall while the state has the mark of a restore.

--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -191,6 +191,7 @@
         )
         self._ready = asyncio.Event()
         self._vm_count = ASSUMED_VM_COUNT
+        self._has_vm_count = False
         self._promote = promote
         self._rpc: Rpc | None = None
         self._failover: Failover | None = None
@@ -490,6 +491,11 @@
 
     def _set_vm_count(self, count: int) -> None:
         """Divide limits and connections among ``count`` VMs."""
+        state = self._view.state
+        if self._has_vm_count and state is not None and state.restored:
+            # A restored store may not list all of them yet.
+            count = max(count, self._vm_count)
+        self._has_vm_count = True
         if count == self._vm_count:
             return
         self._vm_count = count
--- a/citronwood/relay/registry.py
+++ b/citronwood/relay/registry.py
@@ -154,7 +154,6 @@
         self._needs_list = needs_list
         self._registration_spread_s = registration_spread_s
         self._vms: list[RegisteredVm] = []
-        self._vm_count = 1
         self._last_report_at: dict[str, float] = {}
         self._processes: dict[str, int] = {}
         self._absent_since: dict[str, float] = {}
@@ -241,9 +240,12 @@
                 if has_contact and not self._needs_list():
                     await asyncio.sleep(VM_LIST_INTERVAL_S)
                     continue
-                self._vms = (await self.list_vms(stale_ok=not is_leader_now)).vms
-                if not has_contact:
-                    self._count_vms()
+                listing = await self.list_vms(stale_ok=not is_leader_now)
+                self._vms = listing.vms
+                is_known = listing.generation == generation_of(self._view.version)
+                # The list of a store that was just restored may lack some VMs.
+                if not has_contact and is_known:
+                    self._on_vm_count(max(1, len(self._vms)))
                 if is_leader_now:
                     await self._remove_absent()
             except PlatformError as error:
@@ -253,15 +255,6 @@
             )
             await asyncio.sleep(interval_s * random.uniform(0.8, 1.0))
 
-    def _count_vms(self) -> None:
-        """Tell the number of VMs; those that a copy of the store lacks are kept."""
-        state = self._view.state
-        count = max(1, len(self._vms))
-        if state is not None and state.restored:
-            count = max(count, self._vm_count)
-        self._vm_count = count
-        self._on_vm_count(count)
-
     async def list_vms(self, stale_ok: bool = False) -> VmListing:
         """Return the entries of all VMs; ``stale_ok`` permits data seconds old."""
         listing = await self._store.list_objects(
--- a/citronwood/versions.py
+++ b/citronwood/versions.py
@@ -7,9 +7,9 @@
 """
 
 REVISIONS_PER_GENERATION = 10**12
-# Versions up to this generation are below 2**53, so that every implementation of JSON
-# keeps them exactly.
-MAX_GENERATION = 2**53 // REVISIONS_PER_GENERATION - 1
+# Versions of later generations do not fit into the 63 bits of messages between VMs.
+# Those of the first 9,006 are below 2**53, which all implementations of JSON keep.
+MAX_GENERATION = 2**63 // REVISIONS_PER_GENERATION - 1
 
 
 def make_version(generation: int, revision: int) -> int:
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -24,7 +24,7 @@
 from citronwood.relay.messages import ReportToLeader
 from citronwood.relay.node import FeedKinds, RelayNode, RelayOptions
 from citronwood.relay.statement import Reason, Statement, TransactionState, Verb
-from citronwood.relay.view import LEASE_S
+from citronwood.relay.view import LEASE_S, FleetState
 from tests.fleet_helpers import eventually
 from tests.processes import reserve_port
 from tests.relay_standins import (
@@ -338,6 +338,18 @@
     asyncio.run(scenario())
 
 
+def test_limits_are_not_divided_by_fewer_vms_until_all_are_listed_again():
+    # Guards against rates and connections beyond their limits after a restore.
+    node = Vm("vm0", MemoryStore(), Group("orders")).node
+    state = FleetState(1, "vm1", "", 1, 1, "", "", {}, {})
+    node._view.update_state(state, 1)
+    for restored, listed, expected in [(True, 9, 9), (True, 2, 9), (False, 8, 8)]:
+        version = node._view.version + 1
+        node._view.update_state(state._replace(restored=restored), version)
+        node._set_vm_count(listed)
+        assert node._vm_count == expected
+
+
 @pytest.mark.realtime
 def test_vm_reads_the_configuration_when_the_leader_cannot():
     # Guards against VMs that wait for the leader's copy while the store refuses the
--- a/tests/test_relay_registry.py
+++ b/tests/test_relay_registry.py
@@ -458,3 +458,20 @@
         assert world.own_process() == process
 
     asyncio.run(scenario())
+
+
+def test_vms_are_not_counted_in_a_store_whose_restore_is_not_known(world):
+    # Guards against limits that are divided by the few VMs which have registered again.
+    async def scenario():
+        world.add_entry("me")
+        world.add_entry("other")
+        await world.wait_for_reads()
+        world.store.restore(world.store.copy()._replace(objects={}))
+        calls = len(world.store.calls)
+        await eventually(lambda: len(world.store.calls) >= calls + 3)
+        assert {*world.counts} == {2}
+        world.view.note_missing(make_version(1, 0))
+        await world.wait_for_reads()
+        assert world.counts[-1] == 1
+
+    world.run(scenario)
