Find the primary of a group whose record a restored store has lost

Cause: a leader that took over from a copy without the group's record waited for a server that reports itself as primary. If the primary had left in the lost seconds, there was none, and nobody led the group until the end, although other VMs and the servers knew who had. A server that claims an older term would have been taken, too. Change: while the mark of a restore is on the state, such a group begins an uncertain change, as those with a record do. It waits for all leases, asks the VMs for the newest primary that they knew and the servers for their terms.

--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -151,7 +151,7 @@
         cut off from the others may then claim to lead, too.
         """
         if self._may_vms_be_unlisted:
-            # VMs may use a primary that was recorded after the copy was made.
+            await self._find_primary(group)
             return
         listed = self._servers.of_group(group)
         processes = self._registry.known_processes
@@ -183,6 +183,26 @@
             log, "primary", "adopted", f"group: {group}: {server.id} is the primary"
         )
 
+    async def _find_primary(self, group: str) -> None:
+        """Begin a change in a group whose record the store may have lost.
+
+        VMs may use a primary that was recorded after the copy was made, and it may have
+        left since, so that none of the servers reports itself as primary any more.
+        """
+        if not self._servers.of_group(group):
+            return
+        log_state(
+            log,
+            "primary_change",
+            "started",
+            f"group: {group}: looking for its primary, which is not on record",
+            group=group,
+            reason="the store was restored from a copy and has no record",
+        )
+        number = number_after(self._view.version)
+        unknown = GroupState("", 0, True, number, uncertain=True)
+        await self._write_group(group, unknown)
+
     async def _check_primary(self, group: str, current: GroupState) -> None:
         """Replace a primary that is silent, draining or no longer primary."""
         reason = await self._reason_to_replace(group, current)
