Promote without the former primary once all other servers have reported

Cause: after a restore of the store, a term that the copy does not have was taken as that of an unknown newer primary, although the order to step down had raised it. The former primary then counted as a replica that may hold commits alone. It had left while the leases were waited for. Change: the former primary is not waited for if all other servers that may hold commits have reported: the newest primary is among them, or the former one led on and its replicas have what they acknowledged.

--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -356,13 +356,15 @@
             (each for each in groups if each is not None), key=lambda each: each.term
         )
         if known.term > newest.term:
-            newest = newest._replace(primary=known.primary, term=known.term)
+            newest = newest._replace(
+                primary=known.primary, term=known.term, former=newest.primary
+            )
         if newest.term > current.term:
             log_state(
                 log,
                 "primary_change",
                 "newer_primary",
-                f"group: {group}: term {newest.term} began after the copy of the store",
+                f"group: {group}: term {newest.term} is not in the copy of the store",
                 group=group,
                 recorded_primary=current.primary,
                 recorded_term=current.term,
--- a/citronwood/relay/succession.py
+++ b/citronwood/relay/succession.py
@@ -310,6 +310,10 @@
         reports = [each.report for each in probed if each.server.id != change.primary]
         listed = self._servers.of_group(group)
         awaited = awaited_servers(change.holders, listed, reports, change.primary)
+        if awaited == [change.former] and not change.primary:
+            # The newest primary is among those that reported, or the former one led on,
+            # and its replicas have all that they acknowledged.
+            awaited = []
         return Evidence(
             sync_replicas=self._sync_replicas(group),
             complete_logs=complete_logs,
--- a/citronwood/relay/view.py
+++ b/citronwood/relay/view.py
@@ -35,7 +35,9 @@
 
     ``change`` is the number of the newest change of primary in the group. With
     ``uncertain``, the store was restored from a copy, and a later primary may have been
-    lost with it; the group then is changing. The other
+    lost with it; the group then is changing. During such a change, ``primary`` is empty
+    while nobody has named the newest one, and ``former`` is the last that is known;
+    ``former`` is not stored. The other
     fields are used where replicas acknowledge commits: the records of the servers that
     may hold commits which no other has, the position at which the primary's term began,
     and during a change the newest acknowledged commit, if all VMs have named theirs.
@@ -49,6 +51,7 @@
     began_at: Position | None = None
     newest_commit: Position | None = None
     uncertain: bool = False
+    former: str = ""
 
 
 class FleetState(NamedTuple):
