Keep the primary that certainly leads without waiting for leases

Cause: an uncertain group waited for all leases even if its primary was known. They are leases on this very primary: when it was promoted, all VMs had stopped using the one before it. Change: if all listed servers have answered and one leads the newest term that any server or VM knows, it is kept, 1.5 s after the take-over at the earliest, when no promotion of a lost leader can be on its way.

--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -32,7 +32,7 @@
 from citronwood.relay.registry import RegisteredVm, VmRegistry
 from citronwood.relay.servers import Servers
 from citronwood.relay.succession import RECENT_ANSWER_S, NewestTerm, Succession
-from citronwood.relay.view import GroupState, PrimaryView
+from citronwood.relay.view import LEASE_S, GroupState, PrimaryView
 from citronwood.tasks import cancel_tasks
 from citronwood.versions import number_after
 
@@ -51,6 +51,10 @@
 # all VMs can be known. Within this time no VM joins, serves and leaves the list of VMs
 # without a report to the leader, unless it never reaches it.
 MAX_POSITION_AGE_S = 5.0
+# Time from a take-over in a restored store until no promotion that an earlier leader
+# asked for takes effect any more. Its lease has ended before; a promotion takes some
+# hundred ms.
+LATE_PROMOTION_S = 1.5
 
 
 class _Observation(NamedTuple):
@@ -308,19 +312,25 @@
 
     async def _replace_primary(self, group: str, current: GroupState) -> None:
         written_at = self._view.change_seen_at(group)
-        is_list_complete = not self._may_vms_be_unlisted
-        if not is_list_complete:
+        may_vms_be_unlisted = self._may_vms_be_unlisted
+        if may_vms_be_unlisted:
             self._observations.pop(group, None)
-        fenced = await self._fencing.block(
-            group, current.change, written_at, is_list_complete
+        fenced, is_list_current = await self._fencing.block(
+            group, current.change, written_at
         )
         former_primaries = {current.primary}
+        new = None
         if current.uncertain:
-            known = await self._succession.newest_term(group, current)
-            current = self._with_newest_primary(group, current, fenced, known)
-            former_primaries.add(current.primary)
-        current = await self._note_newest_commit(group, current, written_at, fenced)
-        new = await self._succession.promote_lasting(group, current)
+            new = await self._keep_primary(group, current, fenced, written_at)
+        if new is None:
+            if may_vms_be_unlisted or not is_list_current:
+                await self._fencing.wait_for_leases(group, written_at)
+            if current.uncertain:
+                known = await self._succession.newest_term(group, current)
+                current = self._with_newest_primary(group, current, fenced, known)
+                former_primaries.add(current.primary)
+            current = await self._note_newest_commit(group, current, written_at, fenced)
+            new = await self._succession.promote_lasting(group, current)
         await self._write_group(group, new)
         log_state(
             log,
@@ -337,6 +347,31 @@
         for server in former_primaries - {new.primary, ""}:
             self._succession.step_down_later(server, new.term)
 
+    async def _keep_primary(
+        self,
+        group: str,
+        current: GroupState,
+        fenced: list[FencedVm],
+        written_at: float,
+    ) -> GroupState | None:
+        """Return an uncertain group with its primary, if that is certain to lead.
+
+        All servers have answered, and it leads the newest term that any server or VM
+        knows. When it was promoted, all VMs had stopped using the primary before it, so
+        that leases from before the restore are leases on it. They need not end; None if
+        they have ended without an answer of all servers.
+        """
+        # A promotion that a lost leader asked for may still take effect.
+        await asyncio.sleep(max(0.0, written_at + LATE_PROMOTION_S - now()))
+        while now() < written_at + LEASE_S:
+            known = await self._succession.newest_term(group, current)
+            newest = self._with_newest_primary(group, current, fenced, known)
+            is_newest = (newest.primary, newest.term) == (known.primary, known.term)
+            if known.is_complete and known.primary and is_newest:
+                return await self._succession.adopt(group, newest)
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        return None
+
     def _with_newest_primary(
         self,
         group: str,
--- a/citronwood/relay/fencing.py
+++ b/citronwood/relay/fencing.py
@@ -52,6 +52,16 @@
     newest: GroupState | None = None
 
 
+class Blocked(NamedTuple):
+    """VMs that have blocked a group, and whether their list is of the change's time.
+
+    A store that was restored since may lack some of them.
+    """
+
+    fenced: list[FencedVm]
+    is_list_current: bool
+
+
 class Fencing:
     """Makes all VMs stop using the primary of a group.
 
@@ -85,19 +95,13 @@
         self._fence_locally = fence_locally
         self._newest_commit = newest_commit
 
-    async def block(
-        self, group: str, change: int, written_at: float, is_list_complete: bool
-    ) -> list[FencedVm]:
-        """Have all VMs block the group; return when none uses the old primary.
+    async def block(self, group: str, change: int, written_at: float) -> Blocked:
+        """Have all listed VMs block the group; return when none uses the old primary.
 
         For each VM, this takes until it has confirmed the fence, its process has ended,
         or its lease has expired. ``written_at`` is the time at which the change was
         written to the store, after which no lease on an earlier state has begun. The
         result has the other VMs.
-
-        Without ``is_list_complete``, the store was restored from a copy lately. Its
-        list of VMs may then lack some that use the old primary, so all leases are
-        waited for.
         """
         message = FenceGroup(group, change)
         await self._fence_locally(message)
@@ -107,18 +111,24 @@
         fenced = await asyncio.gather(
             *(self._fence_vm(vm, message, lease_end) for vm in vms)
         )
-        if not is_list_complete or listing.generation != generation_of(change):
-            log_state(
-                log,
-                "fence",
-                "list_incomplete",
-                f"group: {group}: waiting for all leases, because the store was "
-                "restored from a copy",
-                group=group,
-                left_ms=round(max(0.0, lease_end - now()) * 1000),
-            )
-            await asyncio.sleep(max(0.0, lease_end - now()))
-        return fenced
+        return Blocked(fenced, listing.generation == generation_of(change))
+
+    async def wait_for_leases(self, group: str, written_at: float) -> None:
+        """Wait until no VM uses the old primary, also one that is not listed.
+
+        The list of a store that was restored from a copy may lack VMs.
+        """
+        left_s = max(0.0, written_at + LEASE_S + LEASE_MARGIN_S - now())
+        log_state(
+            log,
+            "fence",
+            "list_incomplete",
+            f"group: {group}: waiting for all leases, because the store was restored "
+            "from a copy",
+            group=group,
+            left_ms=round(left_s * 1000),
+        )
+        await asyncio.sleep(left_s)
 
     async def collect_newest_commit(
         self,
--- a/citronwood/relay/succession.py
+++ b/citronwood/relay/succession.py
@@ -183,13 +183,25 @@
             holders = {**change.holders, primary: promoted.holder}
             replaced = change._replace(primary=primary, term=term, holders=holders)
             promoted = await self._promote_once(group, change, replaced)
+        return self._led_by(group, change, promoted)
+
+    async def adopt(self, group: str, change: GroupState) -> GroupState | None:
+        """Return the new state of an uncertain group whose primary still leads."""
+        probed = await self._probe_group(group, _without_step_down(change))
+        leading = _newest_primary(probed, change.term - 1)
+        if leading is None or leading.server.id != change.primary:
+            return None
+        return self._led_by(group, change, leading)
+
+    def _led_by(self, group: str, change: GroupState, primary: _Answer) -> GroupState:
+        """Return a group's state after a change."""
         new = GroupState(
-            promoted.server.id, promoted.probe.status.term, False, change.change
+            primary.server.id, primary.probe.status.term, False, change.change
         )
         if not self._sync_replicas(group):
             return new
-        holders = new_holders(promoted.report, self._servers.of_group(group))
-        return new._replace(holders=holders, began_at=promoted.report.received)
+        holders = new_holders(primary.report, self._servers.of_group(group))
+        return new._replace(holders=holders, began_at=primary.report.received)
 
     async def _promote_once(
         self, group: str, change: GroupState, replaced: GroupState
