Wait for late promotions each time an uncertain group is looked at

Cause: found by reading. The wait for a promotion that a lost leader had asked for counted from the first write of the change, so that a second leader in the same change did not wait for those of the first one. Change: each attempt waits 1.5 s before it asks the servers who leads.

--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -51,9 +51,8 @@
 # all VMs can be known. Within this time no VM joins, serves and leaves the list of VMs
 # without a report to the leader, unless it never reaches it.
 MAX_POSITION_AGE_S = 5.0
-# Time from a take-over in a restored store until no promotion that an earlier leader
-# asked for takes effect any more. Its lease has ended before; a promotion takes some
-# hundred ms.
+# Time after which no promotion takes effect any more that an earlier leader asked for
+# before its lease ended. A promotion takes some hundred ms.
 LATE_PROMOTION_S = 1.5
 
 
@@ -321,6 +320,8 @@
         former_primaries = {current.primary}
         new = None
         if current.uncertain:
+            # A promotion that an earlier leader asked for may still take effect.
+            await asyncio.sleep(LATE_PROMOTION_S)
             new = await self._keep_primary(group, current, fenced, written_at)
         if new is None:
             if may_vms_be_unlisted or not is_list_current:
@@ -361,8 +362,6 @@
         that leases from before the restore are leases on it. They need not end; None if
         they have ended without an answer of all servers.
         """
-        # A promotion that a lost leader asked for may still take effect.
-        await asyncio.sleep(max(0.0, written_at + LATE_PROMOTION_S - now()))
         while now() < written_at + LEASE_S:
             known = await self._succession.newest_term(group, current)
             newest = self._with_newest_primary(group, current, fenced, known)
