Run the restores with processes beside the other tests

Change: they run in the six workers, as the soak does. Their bounds are the sites' recovery time of 12 s; a lost leader is replaced and the primaries are used again within about 5 s.

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -5,15 +5,12 @@
 import time
 from contextlib import asynccontextmanager, suppress
 
-import pytest
 from aiohttp import web
 
 from tests.fleet_helpers import eventually
 from tests.relay_standins import Caller, StoreServer, configuration
 from tests.soak import KEY, RECOVERY_TIMEOUT_S, SoakGroup, Vm, are_tokens_in_order
 
-pytestmark = pytest.mark.realtime
-
 VMS = 3
 START_TIMEOUT_S = 20.0
 # How long the store is away before it comes back from the copy.
