Move the encoding of the fleet's state to a module of its own

Change: the records of the state and their conversion are in relay/state_records.py; behaviour stays.

--- a/citronwood/relay/fencing.py
+++ b/citronwood/relay/fencing.py
@@ -19,7 +19,6 @@
 )
 from citronwood.inner.rpc import Rpc
 from citronwood.relay.clock import now
-from citronwood.relay.leadership import decode_group
 from citronwood.relay.messages import (
     AskCommits,
     CommitsAnswer,
@@ -28,6 +27,7 @@
 )
 from citronwood.relay.model import Position
 from citronwood.relay.registry import RegisteredVm, VmListing
+from citronwood.relay.state_records import decode_group
 from citronwood.relay.view import LEASE_MARGIN_S, LEASE_S, GroupState
 from citronwood.versions import generation_of
 
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -22,12 +22,7 @@
 from citronwood.relay.follower import FeedFollower
 from citronwood.relay.forwarding import Forwarding
 from citronwood.relay.grantors import choose_deputies
-from citronwood.relay.leadership import (
-    Leadership,
-    decode_state,
-    encode_group,
-    encode_state,
-)
+from citronwood.relay.leadership import Leadership
 from citronwood.relay.leases import Leases
 from citronwood.relay.limiter import AccountBuckets, AccountLimiter, Grants
 from citronwood.relay.messages import (
@@ -57,6 +52,7 @@
 from citronwood.relay.routing import SessionContext
 from citronwood.relay.servers import Servers
 from citronwood.relay.session import Session
+from citronwood.relay.state_records import decode_state, encode_group, encode_state
 from citronwood.relay.statement import ServerConnector
 from citronwood.relay.succession import Promotion, Succession
 from citronwood.relay.view import FleetState, PrimaryView
--- a/tests/test_relay_leadership.py
+++ b/tests/test_relay_leadership.py
@@ -21,10 +21,9 @@
     TAKEOVER_TIMEOUT_S,
     Leadership,
     NotLeaderError,
-    decode_state,
-    encode_state,
 )
 from citronwood.relay.model import Position
+from citronwood.relay.state_records import decode_state, encode_state
 from citronwood.relay.view import (
     LEASE_MARGIN_S,
     LEASE_S,
--- a/tests/test_relay_succession.py
+++ b/tests/test_relay_succession.py
@@ -20,6 +20,7 @@
 from citronwood.relay.model import BackendServer, Position, Role
 from citronwood.relay.probes import Probe
 from citronwood.relay.registry import Peer
+from citronwood.relay.state_records import encode_group
 from citronwood.relay.statement import ServerStatus
 from citronwood.relay.view import LEASE_MARGIN_S, LEASE_S, GroupState, PrimaryView
 from citronwood.tasks import cancel_tasks
@@ -151,7 +152,7 @@
 
 COPY = recorded()
 SYNCHRONOUS = {"copy": recorded_with_holders("p1", "p2", "r"), "sync_replicas": 1}
-NEWEST = GroupFenced(7, leadership.encode_group(recorded("p2", 2)))
+NEWEST = GroupFenced(7, encode_group(recorded("p2", 2)))
 REMEMBERED = {"fenced": {"vm9": NEWEST, "vm8": GroupFenced(7)}}
 EXCLUSION_S = succession.OLD_PRIMARY_EXCLUSION_S
 # Time until all leases end; the change is written up to 2 s before the check.
