Let a replaced primary of the soak's stand-in step down

Cause: the stand-in, not the product. In the logs of the failed run orders-1 was promoted and recorded while connections to orders-0 were frozen. They thawed 0.3 s later, before the stand-in makes a replaced primary a replica by itself (1.5 s). The order to step down (term 2) then dropped the data of the former primary's own term, but the base class compared the order with the group's term, 2, and left it a primary. Two servers counted as newest primary. The soak drained the first of them, which no VM used, and waited for its replacement. Ruled out: the leader. It named orders-1 throughout, and all VMs served writes there. Change: a former primary becomes a replica when it obeys the order. Measured: the new test failed before ("ROW primary 2 2.0") and passes.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -89,7 +89,7 @@
         if text.startswith("STEPDOWN ") and int(text.split()[1]) <= self._term():
             text = "STATUS"
         elif text.startswith("STEPDOWN "):
-            self.fork_data = None
+            self.become_replica()
         if text == "STATUS":
             role = "primary" if self.is_primary else "replica"
             row = f"{role} {self._term()} {self._position()} 0 0 0 1"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.soak import run_soak
+from tests.soak import SoakGroup, run_soak
 
 # With seed 102, a VM ended because a signal to reload arrived while it started. With
 # seed 2100, two VMs used one fencing token after the store was restored from a copy.
@@ -20,6 +20,16 @@
     assert soak.counts["ok"] > 0
 
 
+def test_replaced_primary_of_the_stand_in_becomes_a_replica_when_told():
+    # It went on as a second primary, and the soak then waited for its replacement.
+    group = SoakGroup("orders")
+    former, promoted, _ = group.servers
+    former.fork_data, former.fork_term, group.term = {}, 1, 2
+    promoted.is_primary = True
+    assert former._run(None, "STEPDOWN 2").startswith("ROW replica 2 ")
+    assert group.newest_primary is promoted
+
+
 def test_signal_to_reload_during_the_imports_does_not_end_the_process(tmp_path):
     # The settings are missing, so the process exits by itself with code 2. It receives
     # the signal right after the first line of its entry point.
