Move the search for an uncertain group's primary to a module

Cause: Failover did the block, the search for the primary and the promotion in one place, and the decision which primary is the newest could only be tested with a whole fleet. Dropping this VM's own knowledge or the servers' answer was caught by no test. No other change of behaviour.

--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -28,11 +28,12 @@
 from citronwood.relay.leadership import Leadership
 from citronwood.relay.messages import AskReachable, ReachableAnswer
 from citronwood.relay.model import Position, Role
+from citronwood.relay.primary_search import PrimarySearch
 from citronwood.relay.probes import STATUS_TIMEOUT_S, Probes
 from citronwood.relay.registry import RegisteredVm, VmRegistry
 from citronwood.relay.servers import Servers
-from citronwood.relay.succession import RECENT_ANSWER_S, NewestTerm, Succession
-from citronwood.relay.view import LEASE_S, GroupState, PrimaryView
+from citronwood.relay.succession import RECENT_ANSWER_S, Succession
+from citronwood.relay.view import GroupState, PrimaryView
 from citronwood.tasks import cancel_tasks
 from citronwood.versions import number_after
 
@@ -94,6 +95,7 @@
         self._groups = groups
         self._sync_replicas = sync_replicas
         self._records = HolderRecords(leadership, view, probes)
+        self._search = PrimarySearch(view, succession)
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._last_status_at: dict[str, float] = {}
         self._observations: dict[str, _Observation] = {}
@@ -322,13 +324,12 @@
         if current.uncertain:
             # A promotion that an earlier leader asked for may still take effect.
             await asyncio.sleep(LATE_PROMOTION_S)
-            new = await self._keep_primary(group, current, fenced, written_at)
+            new = await self._search.keep_primary(group, current, fenced, written_at)
         if new is None:
             if may_vms_be_unlisted or not is_list_current:
                 await self._fencing.wait_for_leases(group, written_at)
             if current.uncertain:
-                known = await self._succession.newest_term(group, current)
-                current = self._with_newest_primary(group, current, fenced, known)
+                current = await self._search.find_newest(group, current, fenced)
                 former_primaries.add(current.primary)
             current = await self._note_newest_commit(group, current, written_at, fenced)
             new = await self._succession.promote_lasting(group, current)
@@ -348,69 +349,6 @@
         for server in former_primaries - {new.primary, ""}:
             self._succession.step_down_later(server, new.term)
 
-    async def _keep_primary(
-        self,
-        group: str,
-        current: GroupState,
-        fenced: list[FencedVm],
-        written_at: float,
-    ) -> GroupState | None:
-        """Return an uncertain group with its primary, if that is certain to lead.
-
-        All servers have answered, and it leads the newest term that any server or VM
-        knows. When it was promoted, all VMs had stopped using the primary before it, so
-        that leases from before the restore are leases on it. They need not end; None if
-        they have ended without an answer of all servers.
-        """
-        while now() < written_at + LEASE_S:
-            known = await self._succession.newest_term(group, current)
-            newest = self._with_newest_primary(group, current, fenced, known)
-            is_newest = (newest.primary, newest.term) == (known.primary, known.term)
-            if known.is_complete and known.primary and is_newest:
-                return await self._succession.adopt(group, newest)
-            await asyncio.sleep(CHECK_INTERVAL_S)
-        return None
-
-    def _with_newest_primary(
-        self,
-        group: str,
-        current: GroupState,
-        fenced: list[FencedVm],
-        known: NewestTerm,
-    ) -> GroupState:
-        """Return an uncertain group as the newest that any VM or server has known.
-
-        The name of the primary is empty if a server knows a newer term, but none leads
-        it. If not all servers have answered, one of which the others have not heard may
-        lead; the change then is like any other, and a server is promoted.
-        """
-        own = self._view.newest_group(group)
-        groups = [current, *(entry.newest for entry in fenced), own]
-        newest = max(
-            (each for each in groups if each is not None), key=lambda each: each.term
-        )
-        if known.term > newest.term:
-            newest = newest._replace(
-                primary=known.primary, term=known.term, former=newest.primary
-            )
-        if newest.term > current.term:
-            log_state(
-                log,
-                "primary_change",
-                "newer_primary",
-                f"group: {group}: term {newest.term} is not in the copy of the store",
-                group=group,
-                recorded_primary=current.primary,
-                recorded_term=current.term,
-                newest_primary=newest.primary,
-            )
-        return newest._replace(
-            changing=True,
-            change=current.change,
-            newest_commit=None,
-            uncertain=known.is_complete or not newest.primary,
-        )
-
     async def _note_newest_commit(
         self,
         group: str,
