Read the state once when a lease cannot be renewed

Cause: Leadership read the state a second time right after a renewal that had read it and returned False. The maintenance of a node hashed the fleet's secret anew every 0.4 s. A VM that does not confirm a fence left no log line.

--- a/citronwood/inner/codec.py
+++ b/citronwood/inner/codec.py
@@ -32,10 +32,14 @@
     """Encodes and decodes frames with the fleet's secret."""
 
     def __init__(self, secret: bytes) -> None:
+        self._secret: bytes | None = None
         self.set_secret(secret)
 
     def set_secret(self, secret: bytes) -> None:
-        """Use another secret from now on."""
+        """Use this secret from now on."""
+        if secret == self._secret:
+            return
+        self._secret = secret
         key = blake2b(secret, digest_size=32, person=b"citronwood-inner").digest()
         self._mac = blake2b(bytes([PROTOCOL_VERSION]), digest_size=MAC_BYTES, key=key)
 
--- a/citronwood/inner/rpc.py
+++ b/citronwood/inner/rpc.py
@@ -121,7 +121,7 @@
         return self._transport
 
     def set_secret(self, secret: bytes) -> None:
-        """Use another secret for all frames from now on."""
+        """Use this secret for all frames from now on."""
         self._codec.set_secret(secret)
 
     def start(self, listen_url: str, advertised_url: str | None = None) -> None:
--- a/citronwood/platform/api.py
+++ b/citronwood/platform/api.py
@@ -59,8 +59,7 @@
         if there is no object, and ``StoreRestoredError`` if the store was restored from
         a copy since the expected version was read. When a response is lost, the object
         is read back and has the value of the update if the update took effect. All
-        updates of an object must therefore have distinct
-        values.
+        updates of an object must therefore have distinct values.
         """
         ...
 
--- a/citronwood/relay/leadership.py
+++ b/citronwood/relay/leadership.py
@@ -257,14 +257,16 @@
                     return
             elif self.has_leader_contact:
                 return
-            await self._read()
+            else:
+                await self._read()
             await self._take_over_if_needed()
 
     async def _renew(self) -> bool:
         """Renew the lease as leader; False if this VM must take over like any other.
 
-        In a store that was restored from a copy, the leader writes its state again
-        while its lease lasts: until then no other VM can have changed the state.
+        In the latter case the state was just read. In a store that was restored from a
+        copy, the leader writes its state again while its lease lasts: until then no
+        other VM can have changed the state.
         """
         if not self.is_leader:
             # Another VM may have taken over.
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -371,11 +371,21 @@
             deputies=self._deputies,
         )
 
-    async def _on_fence(self, message: FenceGroup, _: Caller) -> GroupFenced | None:
+    async def _on_fence(
+        self, message: FenceGroup, caller: Caller
+    ) -> GroupFenced | None:
         await self._fence(message)
         if self._view.primary_of(message.group) is not None:
             # This VM knows the end of the change. If the leader does not, the store
             # was restored since.
+            log_state(
+                log,
+                "fence",
+                "not_confirmed",
+                f"group: {message.group}: change {message.change} is already complete",
+                group=message.group,
+                leader=caller.name,
+            )
             self._leadership.read_soon()
             return None
         newest = self._view.newest_group(message.group)
