Keep a draining primary while no lasting server answers

Cause: the leader replaces a draining primary if any other server does not drain, whether that one answers or not. The change then finds only a draining server to promote, goes on to the next one, which drains as well, and begins again: 10 promotions until the dead server's entry expired. The same question is asked when a change decides whether to go on after a first promotion. Change: both ask whether a server that does not drain answers. Measured: the new test failed before (two promotions where there should be none) and passes.

--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -252,12 +252,9 @@
                 self._records.note_primary(report, listed)
         elif not self._probes.answered_within(current.primary, RECENT_ANSWER_S):
             return await self._reason_of_silence(group, current.primary)
-        # A server without a free slot answers, but reports no status. Servers that have
-        # begun to drain earlier will leave earlier, and are no better.
-        others = self._servers.others_of_group(group, current.primary)
-        if self._servers.is_draining(current.primary) and not all(
-            other.draining for other in others
-        ):
+        # Servers that have begun to drain earlier will leave earlier and are no better.
+        is_draining = self._servers.is_draining(current.primary)
+        if is_draining and await self._succession.has_lasting(group, current.primary):
             return "it is draining"
         if probe is not None and self._view.primary_of(group) == current.primary:
             self._probes.record_position(group, probe)
--- a/citronwood/relay/succession.py
+++ b/citronwood/relay/succession.py
@@ -140,6 +140,21 @@
         finally:
             self._note_awaited(group, [])
 
+    async def has_lasting(self, group: str, primary: str) -> bool:
+        """Whether a server other than the primary answers and is not about to leave."""
+        others = self._servers.others_of_group(group, primary)
+        lasting = [other.id for other in others if not other.draining]
+        await asyncio.gather(
+            *(
+                self._probes.status(server, deadline_in(STATUS_TIMEOUT_S))
+                for server in lasting
+            )
+        )
+        # A server without a free slot answers, but reports no status.
+        return any(
+            self._probes.answered_within(server, RECENT_ANSWER_S) for server in lasting
+        )
+
     async def newest_term(self, group: str, change: GroupState) -> NewestTerm:
         """Return the newest term that any server of an uncertain group knows.
 
@@ -166,10 +181,8 @@
         promoted = await self._promote_once(group, change, replaced)
         for _ in range(MAX_PROMOTIONS - 1):
             primary, term = promoted.server.id, promoted.probe.status.term
-            others = self._servers.others_of_group(group, primary)
-            if not self._servers.is_draining(primary) or all(
-                other.draining for other in others
-            ):
+            is_draining = self._servers.is_draining(primary)
+            if not is_draining or not await self.has_lasting(group, primary):
                 break
             log_state(
                 log,
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -521,6 +521,25 @@
     run(scenario)
 
 
+def test_draining_primary_is_not_replaced_while_no_lasting_server_answers():
+    # Guards against changes of primary without end, back and forth between servers that
+    # are about to leave, while the only other one is listed but down.
+    async def scenario(vms, store, group):
+        old, draining, down = group.servers
+        await down.stop()
+        draining.is_draining = old.is_draining = True
+        group.register(store)
+        leader = next(vm for vm in vms if vm.node._leadership.is_leader)
+        await eventually(lambda: leader.node._servers.is_draining(old.id))
+        await eventually_asked_again(old, 4)
+        assert group.promotions == []
+        await down.start()
+        await eventually(lambda: all(primary(vm) == down.id for vm in vms), 10.0)
+        assert len(group.promotions) == 1
+
+    run(scenario)
+
+
 def test_draining_server_leads_until_its_successor_has_its_log():
     # Guards against the loss of acknowledged commits that only the draining server has,
     # because it is left out of the count when it is to be replaced itself.
