Judge a drain only until another process takes its place

Cause: check_drain of the simulation judged a server that crashed while it was draining by the report of its earlier process. Change: the history has the start of the new process, and the report counts until then. The new test fails without the check's change: the history has no such record, and a request to the new process counts as late.

--- a/citronwood/simulation/checks.py
+++ b/citronwood/simulation/checks.py
@@ -4,6 +4,7 @@
 page on rules; the docstring says which sentence it judges.
 """
 
+import math
 from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
@@ -255,13 +256,21 @@
 def check_drain(history: History, bounds: Bounds) -> Iterator[Violation]:
     """Judge DRAIN: no request reaches a server later than the bound after its report.
 
-    Judged only while the VMs and the store are in touch all the time.
+    Judged only while the VMs and the store are in touch all the time. A report counts
+    until a process that does not drain takes the place of the one that does.
     """
     if not bounds.is_fleet_calm:
         return
     for drained in history.drained:
+        ends = [
+            restarted.at
+            for restarted in history.restarted
+            if restarted.server == drained.server and restarted.at > drained.at
+        ]
+        end = min(ends, default=math.inf)
         for run in history.runs:
-            if run.server == drained.server and run.at > drained.at + bounds.drain_s:
+            is_late = drained.at + bounds.drain_s < run.at < end
+            if run.server == drained.server and is_late:
                 text = f"{run.id} reached {run.server}, draining since {drained.at:.3f}"
                 yield Violation("DRAIN", run.at, text)
 
--- a/citronwood/simulation/history.py
+++ b/citronwood/simulation/history.py
@@ -110,6 +110,13 @@
     server: str
 
 
+class Restarted(NamedTuple):
+    """A server that was draining has ended, and a new process that is not starts."""
+
+    at: float
+    server: str
+
+
 class Disturbance(NamedTuple):
     """Time in which a machine was disturbed, or its links to another host.
 
@@ -131,6 +138,7 @@
     promoted: list[Promoted]
     promote_calls: list[PromoteCall]
     drained: list[Drained]
+    restarted: list[Restarted]
     disturbances: list[Disturbance]
 
 
@@ -144,7 +152,7 @@
 
 def new_history() -> History:
     """Return an empty history."""
-    return History([], [], [], [], [], [], [])
+    return History([], [], [], [], [], [], [], [])
 
 
 def acknowledged(history: History) -> dict[str, Request]:
--- a/citronwood/simulation/servers.py
+++ b/citronwood/simulation/servers.py
@@ -11,7 +11,15 @@
 from itertools import count
 from typing import Any, NamedTuple
 
-from citronwood.simulation.history import Commit, Drained, Entry, History, Promoted, Run
+from citronwood.simulation.history import (
+    Commit,
+    Drained,
+    Entry,
+    History,
+    Promoted,
+    Restarted,
+    Run,
+)
 from citronwood.simulation.machine import Machine
 from citronwood.simulation.network import SENT_AT, Network
 
@@ -100,7 +108,9 @@
         self._seq = 0
         self._connections = 0
         self._received = asyncio.Event()
-        self.is_draining = False
+        if self.is_draining:
+            self.is_draining = False
+            self.group.history.restarted.append(Restarted(self._now(), self.id))
         # "A primary that crashed comes back with its log, as a replica if another
         # member was promoted."
         if self.group.newest_term() > self.term:
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -22,6 +22,7 @@
     PromoteCall,
     Promoted,
     Request,
+    Restarted,
     Run,
     new_history,
 )
@@ -340,6 +341,18 @@
     assert [violation.rule for violation in violations] == ["RECOVER"]
 
 
+@pytest.mark.parametrize("restarted_at, is_broken", [(8, False), (9.05, True)])
+def test_report_of_a_draining_process_ends_with_it(restarted_at, is_broken):
+    # Requests to its successor were taken for late ones.
+    records = {
+        **WRITTEN,
+        "runs": [run(1, "WRITE x v", at=9.02)],
+        "drained": [Drained(2, "a")],
+        "restarted": [Restarted(1, "a"), Restarted(restarted_at, "a")],
+    }
+    assert bool(find_violations(history(**records), BOUNDS)) is is_broken
+
+
 # The parts of ONE that need more than one history of each kind.
 
 
