Judge the age of a value in the soak by the log of the servers

Cause: the check. Existing connections to the primary orders-0 were frozen for 3.9 s, new ones worked. Two writes of vm2 ended as outcome_unknown after 2 s; later writes of the same callers were acknowledged on new connections. At the thaw the stand-in got the bytes of the two, and executed them. No primary was replaced (the next promotion is 14 s later), and all reads and writes of that time name orders-0. That the two values are those of the two writes is inferred from their number and time; values are not logged. Change: where a read must see an acknowledged write, its value must stand at that write or after it in the group's log, instead of in the order of sending. Stricter than before for a value that only an old primary has.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.soak import SoakGroup, run_soak
+from tests.soak import SoakGroup, is_as_new, run_soak
 
 # With seed 102, a VM ended because a signal to reload arrived while it started. With
 # seed 2100, two VMs used one fencing token after the store was restored from a copy.
@@ -30,6 +30,16 @@
     assert group.newest_primary is promoted
 
 
+def test_age_of_a_value_is_judged_by_the_log():
+    # The answer to the write of 2 was lost, and its bytes arrived after the write of 3.
+    writes = [("x", "1"), ("x", "3"), ("x", "2")]
+    assert is_as_new(writes, "2", "3")
+    assert is_as_new(writes, "3", "3")
+    assert not is_as_new(writes, "1", "3")
+    # Written at an old primary, which is not in the log.
+    assert not is_as_new(writes, "4", "3")
+
+
 def test_signal_to_reload_during_the_imports_does_not_end_the_process(tmp_path):
     # The settings are missing, so the process exits by itself with code 2. It receives
     # the signal right after the first line of its entry point.
