--- a/citronwood/platform/nodefile.py
+++ b/citronwood/platform/nodefile.py
@@ -22,8 +22,12 @@
     first port of the range that is reserved for traffic between VMs. ``store`` and
     ``promotions`` are the addresses of the platform's object store and of its service
     that promotes backend servers. ``grace_s`` is the time between the stop signal and
-    the forced termination. ``processors`` is the processor time of the VM, in cores.
-    ``is_first_start`` is set when the whole fleet starts for the first time.
+    the forced termination. ``processors`` is the processor time of the VM, in cores,
+    ``memory_mb`` its memory and ``max_descriptors`` the number of file descriptors of a
+    process; 0 if the file does not name them. ``is_first_start`` is set when the whole
+    fleet starts for the first time. ``contracts`` names the parts of the platform's
+    rules that are in force, and ``evacuation_s`` is the time within which a failure
+    domain has to be evacuated; None if the platform does not ask for it.
     """
 
     name: str
@@ -36,6 +40,10 @@
     grace_s: float
     processors: float
     is_first_start: bool = False
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
+    contracts: frozenset[str] = frozenset()
+    evacuation_s: float | None = None
 
 
 def parse_fields(text: str) -> dict[str, str]:
@@ -80,6 +88,7 @@
             return default
 
     ports = required_text("port_range").split(",")
+    evacuation_ms = optional_number("bounds.evacuate_ms", 0.0)
     if fields.get("port_range") and not ports[0].isdigit():
         findings.append("port_range: not FIRST,LAST")
     settings = NodeSettings(
@@ -95,6 +104,10 @@
         processors=optional_number("limits.cpu_share", 1.0)
         * optional_number("limits.cores", 1.0),
         is_first_start=fields.get("bootstrap") == "true",
+        memory_mb=optional_number("limits.memory_mb", 0.0),
+        max_descriptors=int(optional_number("limits.max_fds", 0.0)),
+        contracts=frozenset(filter(None, fields.get("contracts", "").split(","))),
+        evacuation_s=evacuation_ms / 1000 if evacuation_ms else None,
     )
     if findings:
         raise SettingsError(findings)
--- a/citronwood/platform/process.py
+++ b/citronwood/platform/process.py
@@ -41,6 +41,10 @@
 LEASE_GRACE_SHARE = 0.7
 # Also set in deploy/system.toml; outside of the platform's own port range.
 METRICS_PORT = 9464
+# Contracts of the platform with which statements are scheduled by priority, and reads
+# are balanced by load.
+PRIORITY_CONTRACT = "pressure"
+BALANCE_CONTRACT = "pool"
 FEED_KINDS = FeedKinds(RULES_KIND, decode_rules, SERVERS_KIND, decode_servers)
 
 
@@ -84,6 +88,9 @@
                 settings.first_inner_port,
                 settings.processors,
                 settings.is_first_start,
+                schedules_statements=PRIORITY_CONTRACT in settings.contracts,
+                balances_reads=BALANCE_CONTRACT in settings.contracts,
+                evacuation_s=settings.evacuation_s,
             ),
             store,
             FEED_KINDS,
--- a/citronwood/platform/records.py
+++ b/citronwood/platform/records.py
@@ -52,6 +52,7 @@
     service: str
     kind: Literal["primary", "bounded", "read_your_writes"] = "primary"
     timeout_ms: float = DEFAULT_STATEMENT_TIMEOUT_MS
+    target_latency_ms: float | None = None
     priority: int = 0
     max_staleness_ms: float | None = None
     allow_anonymous: bool = False
@@ -176,7 +177,7 @@
 
 
 def _convert_route(record: _Route) -> Route:
-    max_age_ms = record.max_staleness_ms
+    max_age_ms, target_ms = record.max_staleness_ms, record.target_latency_ms
     return Route(
         database=record.host,
         group=record.service,
@@ -185,6 +186,7 @@
         priority=record.priority,
         max_age_s=None if max_age_ms is None else max_age_ms / 1000,
         open_to_all=record.allow_anonymous,
+        target_latency_s=None if target_ms is None else target_ms / 1000,
     )
 
 
--- a/citronwood/relay/forwarding.py
+++ b/citronwood/relay/forwarding.py
@@ -10,6 +10,7 @@
 import logging
 from collections.abc import Callable
 from itertools import count
+from time import monotonic
 
 from citronwood.deadline import deadline_in, has_passed
 from citronwood.decisions import log_state
@@ -244,7 +245,8 @@
         """Ask one VM; None if it cannot serve the request."""
         assert self._rpc is not None
         rules = self._rules()
-        bounds, statement = use.bounds, use.statement
+        bounds, statement, urgency = use.bounds, use.statement, use.urgency
+        max_wait_s = urgency.max_wait_s
         commit = None if bounds is None else bounds.commit
         max_age_ms = None
         if bounds is not None:
@@ -264,6 +266,9 @@
             statement=None
             if statement is None
             else encode_statement(statement, use.settings),
+            priority=urgency.priority,
+            target_ms=int((urgency.target_at - monotonic()) * 1000),
+            max_wait_ms=None if max_wait_s is None else int(max_wait_s * 1000),
         )
         try:
             answer = await self._rpc.call(
--- a/citronwood/relay/leases.py
+++ b/citronwood/relay/leases.py
@@ -7,8 +7,10 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from enum import StrEnum
+from time import monotonic
 from typing import NamedTuple
 
 from citronwood.deadline import deadline_in, has_passed, timeout_at
@@ -46,6 +48,7 @@
     Reason,
     Statement,
     TransactionState,
+    Urgency,
     Verb,
 )
 from citronwood.relay.view import PrimaryView
@@ -71,6 +74,8 @@
     FULL = "full"
     OVERLOADED = "overloaded"
     NO_POSITION = "no_position"
+    # The expected wait exceeds the one that the read accepts.
+    DECLINED = "declined"
     # The connection was lost before or after the statement was sent.
     LOST = "lost"
     LOST_AFTER_SENDING = "lost_after_sending"
@@ -186,6 +191,7 @@
                 settings,
                 caller.deadline,
                 in_transaction=bool(message.begin),
+                urgency=_urgency(message),
             )
         except NoPositionError as error:
             return ForwardedAnswer(LeaseOutcome.NO_POSITION, str(error))
@@ -353,6 +359,12 @@
     return ForwardedAnswer(outcome, str(error))
 
 
+def _urgency(message: OpenLease) -> Urgency:
+    target_s = math.inf if message.target_ms is None else message.target_ms / 1000
+    max_wait_s = None if message.max_wait_ms is None else message.max_wait_ms / 1000
+    return Urgency(message.priority, monotonic() + target_s, max_wait_s)
+
+
 def _decode_settings(
     variables: dict[str, str], statement: ForwardedStatement | None
 ) -> SessionSettings:
--- a/citronwood/relay/messages.py
+++ b/citronwood/relay/messages.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from citronwood.relay.model import Position
+from citronwood.relay.server_load import ServerLoad
 
 
 class ReportToLeader(NamedTuple):
@@ -173,7 +174,9 @@
     ``max_age_ms`` is None for the primary; else the server's log must hold all commits
     that were acknowledged before this time, and ``after``, the last commit of the
     session, as (term, number). ``rules_version`` is the version of the configuration
-    that allowed the request.
+    that allowed the request. ``priority`` and ``target_ms``, the time left until the
+    route's target latency, are as in ``citronwood.relay.statement.Urgency``. A read is
+    declined if its expected wait exceeds ``max_wait_ms``.
     """
 
     lease: int
@@ -187,6 +190,9 @@
     variables: dict[str, str]
     begin: str
     statement: ForwardedStatement | None
+    priority: int = 0
+    target_ms: int | None = None
+    max_wait_ms: int | None = None
 
 
 class RunInLease(NamedTuple):
@@ -213,7 +219,8 @@
 
     ``outcome`` is a value of ``citronwood.relay.leases.LeaseOutcome`` and ``detail``
     describes it. ``excess_ms`` is as in ``OverloadedError``. The other fields are those
-    of ``citronwood.relay.statement.Answer``.
+    of ``citronwood.relay.statement.Answer``. ``load`` is the load of the server at its
+    owner after the request.
     """
 
     outcome: str
@@ -225,6 +232,7 @@
     message: str = ""
     state: str = ""
     position: tuple[int, int] | None = None
+    load: ServerLoad | None = None
 
 
 class AskPosition(NamedTuple):
--- a/citronwood/relay/model.py
+++ b/citronwood/relay/model.py
@@ -23,6 +23,8 @@
     """Route of a database name that callers use to a group.
 
     ``max_age_s`` is the accepted age of a read's data; None requires the newest commit.
+    ``priority`` is 0 for the most important routes. ``target_latency_s`` is the time
+    within which an operation should be answered.
     """
 
     database: str
@@ -32,6 +34,7 @@
     priority: int
     max_age_s: float | None
     open_to_all: bool
+    target_latency_s: float | None = None
 
 
 class Account(NamedTuple):
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -85,7 +85,11 @@
 class RelayOptions(NamedTuple):
     """Name, failure domain, address and processor time (in cores) of this VM.
 
-    ``is_first_start`` is set when the whole fleet starts for the first time.
+    ``is_first_start`` is set when the whole fleet starts for the first time. With
+    ``schedules_statements``, statements for a server are run in order of priority at
+    its owner. With ``balances_reads``, reads go to the server of a group that is
+    expected to run them first. ``evacuation_s`` is the time after which nothing is sent
+    to servers of an evacuated failure domain any more; None without evacuations.
     """
 
     name: str
@@ -94,6 +98,9 @@
     inner_port: int
     processors: float = 1.0
     is_first_start: bool = True
+    schedules_statements: bool = False
+    balances_reads: bool = False
+    evacuation_s: float | None = None
 
 
 class FeedKinds(NamedTuple):
--- a/citronwood/relay/pool.py
+++ b/citronwood/relay/pool.py
@@ -28,7 +28,9 @@
 )
 from citronwood.relay.clock import now
 from citronwood.relay.model import BackendServer, Position
+from citronwood.relay.server_load import LoadMeter, ServerLoad
 from citronwood.relay.statement import (
+    DEFAULT_URGENCY,
     NOT_RUN,
     RUN_AND_FAILED,
     Answer,
@@ -37,6 +39,7 @@
     ServerConnector,
     Statement,
     TransactionState,
+    Urgency,
     Verb,
 )
 
@@ -192,7 +195,9 @@
         after: Position | None = None,
     ) -> Answer:
         """Run a statement with the session's variables set."""
-        answer = await self._run(statement, settings, deadline, after)
+        answer = await self._pool.measure(
+            self._run(statement, settings, deadline, after)
+        )
         if self.is_aborted:
             # An answer that was received at that moment must not be passed on: the
             # commits of this VM have been named to the leader without it.
@@ -355,12 +360,23 @@
         # a full server, and whether an attempt runs.
         self._failed_attempts = 0
         self._connecting = 0
+        self._meter = LoadMeter()
 
     @property
     def load(self) -> int:
         """Number of requests that use or wait for a connection."""
         return self._queue.in_use + self._queue.waiting
 
+    @property
+    def server_load(self) -> ServerLoad:
+        """Load of the server by the requests of this pool."""
+        return ServerLoad(
+            self.server.slots,
+            self._meter.running,
+            self._queue.waiting,
+            self._meter.mean_s * 1000,
+        )
+
     @property
     def limit(self) -> int:
         """Number of connections that may be in use at once."""
@@ -390,6 +406,7 @@
         settings: SessionSettings,
         deadline: float,
         in_transaction: bool = False,
+        urgency: Urgency = DEFAULT_URGENCY,
     ) -> PooledConnection:
         """Take a connection for an account.
 
@@ -422,6 +439,17 @@
         self._in_use.add(connection)
         return connection
 
+    async def measure(self, statement: Awaitable[Answer]) -> Answer:
+        """Run a statement and count it in the load of the server."""
+        began_at = self._meter.begin()
+        try:
+            answer = await statement
+        except BaseException:
+            self._meter.abandon()
+            raise
+        self._meter.end(began_at, self.server.slots)
+        return answer
+
     def release(self, connection: PooledConnection) -> None:
         """Give back a connection that is lost or has no open transaction."""
         if connection not in self._in_use:
--- a/citronwood/relay/routing.py
+++ b/citronwood/relay/routing.py
@@ -28,7 +28,13 @@
 from citronwood.relay.pool import LeasedConnection, ServerPool, SessionSettings
 from citronwood.relay.positions import GroupPositions
 from citronwood.relay.servers import Servers
-from citronwood.relay.statement import Failure, Reason, Statement
+from citronwood.relay.statement import (
+    DEFAULT_URGENCY,
+    Failure,
+    Reason,
+    Statement,
+    Urgency,
+)
 from citronwood.relay.view import PrimaryView
 
 # For this long after its last commit, a session reads from the primary, because
@@ -84,7 +90,8 @@
     """What a connection is needed for.
 
     ``bounds`` is None at the primary. ``begin`` is the kind of the transaction to begin
-    ("read" or "write"), and ``statement`` a single read.
+    ("read" or "write"), and ``statement`` a single read. ``urgency`` ranks the request
+    among those that wait for the same server.
     """
 
     database: str
@@ -93,6 +100,7 @@
     bounds: ReadBounds | None
     begin: str
     statement: Statement | None
+    urgency: Urgency = DEFAULT_URGENCY
 
 
 class Forwarding(Protocol):
@@ -240,7 +248,11 @@
                     self._context.positions, pool.server.group, use.bounds, deadline
                 )
             connection = await pool.acquire(
-                use.account, use.settings, deadline, in_transaction=bool(use.begin)
+                use.account,
+                use.settings,
+                deadline,
+                in_transaction=bool(use.begin),
+                urgency=use.urgency,
             )
             connection.floor = floor
             return connection
--- a/citronwood/relay/session.py
+++ b/citronwood/relay/session.py
@@ -31,6 +31,7 @@
     Reason,
     Statement,
     TransactionState,
+    Urgency,
     Verb,
 )
 
@@ -60,6 +61,14 @@
         self.is_aborted = False
 
 
+def _urgency(route: Route) -> Urgency:
+    """Return how a statement of the route that arrives now ranks."""
+    target_s = route.target_latency_s
+    if target_s is None:
+        target_s = route.statement_timeout_s
+    return Urgency(route.priority, deadline_in(target_s))
+
+
 def _to_ms(seconds: float) -> int:
     return round(seconds * 1000)
 
@@ -240,7 +249,8 @@
     async def _write(
         self, statement: Statement, route: Route, account: Account, deadline: float
     ) -> Answer:
-        use = Use(self._database, account.name, self._settings, None, "", None)
+        urgency = _urgency(route)
+        use = Use(self._database, account.name, self._settings, None, "", None, urgency)
         while True:
             pool = await self._router.wait_for_primary(route, deadline)
             connection = await self._router.acquire_connection(
@@ -271,13 +281,20 @@
         self, statement: Statement, route: Route, account: Account, deadline: float
     ) -> Answer:
         started_at = now()
+        urgency = _urgency(route)
         excluded: set[str] = set()
         while True:
             pool, bounds = await self._router.choose_reader(
                 route, account, started_at, excluded, self._last_commit, deadline
             )
             use = Use(
-                self._database, account.name, self._settings, bounds, "", statement
+                self._database,
+                account.name,
+                self._settings,
+                bounds,
+                "",
+                statement,
+                urgency,
             )
             connection = await self._router.acquire_connection(
                 pool, use, excluded, deadline
@@ -389,6 +406,7 @@
     ) -> None:
         """Begin the transaction at a backend server."""
         route, account = transaction.route, transaction.account
+        urgency = _urgency(route)
         excluded: set[str] = set()
         while True:
             bounds: ReadBounds | None = None
@@ -404,7 +422,15 @@
             else:
                 pool = await self._router.wait_for_primary(route, deadline)
             kind = "read" if transaction.read_only else "write"
-            use = Use(self._database, account.name, self._settings, bounds, kind, None)
+            use = Use(
+                self._database,
+                account.name,
+                self._settings,
+                bounds,
+                kind,
+                None,
+                urgency,
+            )
             connection = await self._router.acquire_connection(
                 pool, use, excluded, deadline
             )
--- a/citronwood/relay/statement.py
+++ b/citronwood/relay/statement.py
@@ -1,5 +1,6 @@
 """Statements, their answers, and the protocol of connections to backend servers."""
 
+import math
 from enum import Enum
 from typing import NamedTuple, Protocol
 
@@ -180,6 +181,22 @@
         ...
 
 
+class Urgency(NamedTuple):
+    """How a statement ranks among those that wait for the same server.
+
+    ``priority`` is that of its route, 0 the highest. ``target_at`` is the monotonic
+    time at which the route's target latency ends. A read that may run at another server
+    is declined if it would wait for longer than ``max_wait_s``; None accepts any wait.
+    """
+
+    priority: int
+    target_at: float
+    max_wait_s: float | None = None
+
+
+DEFAULT_URGENCY = Urgency(priority=0, target_at=math.inf)
+
+
 class ServerConnector(Protocol):
     """Opens connections to backend servers."""
 
