--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -111,14 +111,16 @@
 
 
 def _run_fleet(size: int) -> dict[str, float]:
-    port = free_port(size)
+    # Beside other test runs, a quarter of all ports may be in the state TIME_WAIT, so
+    # that no range of many consecutive ports is free.
+    ports = [free_port() for _ in range(size)]
     # Starting the processes of 150 VMs keeps 10 cores busy for about 10 s, so measuring
     # starts 0.1 s later for each VM.
     start = monotonic() + STARTUP_S + size / 10
     commands = []
     for first in range(0, size, VMS_PER_PROCESS):
         count = min(VMS_PER_PROCESS, size - first)
-        part = FleetPart(size, first, count, port, start, start + MEASURE_S)
+        part = FleetPart(size, first, count, ports, start, start + MEASURE_S)
         text = json.dumps(part._asdict())
         commands.append([sys.executable, "-m", "benchmarks.members", text])
     running = [
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -32,7 +32,7 @@
 class FleetPart(NamedTuple):
     """VMs ``first`` to ``first + count - 1`` of a fleet of ``size``.
 
-    VM number n listens on ``port + n``. Measuring starts at ``measure_at`` (system-wide
+    VM number n listens on ``ports[n]``. Measuring starts at ``measure_at`` (system-wide
     monotonic clock, in seconds). From ``change_at`` on, the store returns the second
     version of the configuration.
     """
@@ -40,7 +40,7 @@
     size: int
     first: int
     count: int
-    port: int
+    ports: list[int]
     measure_at: float
     change_at: float
 
@@ -125,7 +125,7 @@
 
 
 def _url(part: FleetPart, number: int) -> str:
-    return f"tcp://127.0.0.1:{part.port + number}"
+    return f"tcp://127.0.0.1:{part.ports[number]}"
 
 
 def resident_kb() -> int:
