--- a/citronwood/relay/pool.py
+++ b/citronwood/relay/pool.py
@@ -377,6 +377,10 @@
             self._meter.mean_s * 1000,
         )
 
+    def expected_wait_s(self, account: str, urgency: Urgency) -> float:
+        """Return how long a statement that arrives now would wait for a slot."""
+        return self.server_load.expected_wait_s
+
     @property
     def limit(self) -> int:
         """Number of connections that may be in use at once."""
