--- a/citronwood/relay/forwarding.py
+++ b/citronwood/relay/forwarding.py
@@ -27,6 +27,7 @@
 )
 from citronwood.inner.rpc import Rpc
 from citronwood.relay.clock import now
+from citronwood.relay.connection import SessionSettings
 from citronwood.relay.leases import (
     LeaseOutcome,
     decode_answer,
@@ -42,7 +43,6 @@
 )
 from citronwood.relay.model import BackendServer, Position, Rules
 from citronwood.relay.owners import Owners, PeerHealth
-from citronwood.relay.pool import SessionSettings
 from citronwood.relay.positions import Observation
 from citronwood.relay.routing import Use
 from citronwood.relay.statement import Answer, Statement, TransactionState
--- a/citronwood/relay/leases.py
+++ b/citronwood/relay/leases.py
@@ -25,6 +25,11 @@
 )
 from citronwood.inner.rpc import Caller, Rpc
 from citronwood.relay.clock import now
+from citronwood.relay.connection import (
+    PooledConnection,
+    PreparedStatement,
+    SessionSettings,
+)
 from citronwood.relay.messages import (
     AskPosition,
     EndLease,
@@ -35,11 +40,6 @@
     RunInLease,
 )
 from citronwood.relay.model import Position, Rules
-from citronwood.relay.pool import (
-    PooledConnection,
-    PreparedStatement,
-    SessionSettings,
-)
 from citronwood.relay.routing import PositionReader, ReadBounds, find_floor
 from citronwood.relay.servers import Servers
 from citronwood.relay.statement import (
--- a/citronwood/relay/routing.py
+++ b/citronwood/relay/routing.py
@@ -18,6 +18,7 @@
 )
 from citronwood.relay.absence import PrimaryAbsences
 from citronwood.relay.clock import now
+from citronwood.relay.connection import LeasedConnection, SessionSettings
 from citronwood.relay.model import (
     Account,
     BackendServer,
@@ -25,7 +26,7 @@
     Position,
     Route,
 )
-from citronwood.relay.pool import LeasedConnection, ServerPool, SessionSettings
+from citronwood.relay.pool import ServerPool
 from citronwood.relay.positions import GroupPositions
 from citronwood.relay.servers import Servers
 from citronwood.relay.statement import (
--- a/citronwood/relay/session.py
+++ b/citronwood/relay/session.py
@@ -7,13 +7,13 @@
 from citronwood.decisions import current_request, may_log, write_request
 from citronwood.errors import ConnectionLostError, StatementRefusedError
 from citronwood.relay.clock import now
-from citronwood.relay.model import Account, Position, Route, Rules
-from citronwood.relay.pool import (
+from citronwood.relay.connection import (
     LeasedConnection,
     PreparedStatement,
-    ServerPool,
     SessionSettings,
 )
+from citronwood.relay.model import Account, Position, Route, Rules
+from citronwood.relay.pool import ServerPool
 from citronwood.relay.routing import (
     LastCommit,
     ReadBounds,
--- a/tests/test_relay_holders.py
+++ b/tests/test_relay_holders.py
@@ -6,6 +6,7 @@
 
 from citronwood.errors import ConnectionLostError, DeadlineExceededError
 from citronwood.relay import fencing as fencing_module
+from citronwood.relay.connection import SessionSettings
 from citronwood.relay.fencing import MAX_COMMIT_CALLS, FencedVm, Fencing
 from citronwood.relay.holders import (
     Holder,
@@ -17,7 +18,7 @@
 )
 from citronwood.relay.messages import AskCommits, CommitsAnswer
 from citronwood.relay.model import BackendServer, Position, Role
-from citronwood.relay.pool import ServerPool, SessionSettings
+from citronwood.relay.pool import ServerPool
 from citronwood.relay.positions import NewestCommits
 from citronwood.relay.registry import RegisteredVm, VmListing
 from citronwood.relay.statement import Answer, Statement, TransactionState, Verb
--- a/tests/test_relay_pool.py
+++ b/tests/test_relay_pool.py
@@ -7,9 +7,11 @@
 
 from citronwood.backend import queue as queue_module
 from citronwood.errors import BackendUnavailableError, ServerFullError
+from citronwood.relay import connection as connection_module
 from citronwood.relay import pool as pool_module
+from citronwood.relay.connection import SessionSettings
 from citronwood.relay.model import BackendServer, Role
-from citronwood.relay.pool import ServerPool, SessionSettings
+from citronwood.relay.pool import ServerPool
 from tests.virtual_time import run_virtually
 
 SERVER = BackendServer("s1", "g", "h", 1, "z", Role.PRIMARY, False, 5, 1)
@@ -88,7 +90,7 @@
         return server, served
 
     random.seed(request.param)
-    return run_virtually(scenario, pool_module, queue_module)
+    return run_virtually(scenario, pool_module, connection_module, queue_module)
 
 
 def test_refused_vms_back_off(overload):
@@ -109,7 +111,8 @@
 
 def test_limit_is_reduced_after_a_refusal_and_grows_again(monkeypatch):
     time = [100.0]
-    monkeypatch.setattr(pool_module, "monotonic", lambda: time[0])
+    for module in (pool_module, connection_module):
+        monkeypatch.setattr(module, "monotonic", lambda: time[0])
 
     async def scenario():
         server = Server(cap=3)
@@ -188,7 +191,7 @@
             await asyncio.sleep(0.01)
         await asyncio.gather(*tasks)
 
-    run_virtually(scenario, pool_module, queue_module)
+    run_virtually(scenario, pool_module, connection_module, queue_module)
     return len(served), len(refused)
 
 
@@ -269,7 +272,7 @@
         return attempts
 
     random.seed(1)
-    attempts = run_virtually(scenario, pool_module, queue_module)
+    attempts = run_virtually(scenario, pool_module, connection_module, queue_module)
     # In 10 s, 50 requests/s.
     assert attempts <= 40
     assert max(waits) <= 0.31
