--- a/citronwood/relay/connection.py
+++ b/citronwood/relay/connection.py
@@ -20,6 +20,7 @@
 )
 
 if TYPE_CHECKING:
+    from citronwood.relay.admission import Permit
     from citronwood.relay.pool import ServerPool
 
 # A connection that holds this many prepared statements is closed instead of reused.
@@ -106,6 +107,8 @@
         self.floor: Position | None = None
         self.via = ""
         self.in_transaction = False
+        # Right to run a single statement, where statements need one.
+        self.permit: Permit | None = None
         # Set when the connection was closed while in use.
         self.is_aborted = False
         self.opened_at = self.used_at = monotonic()
@@ -140,9 +143,14 @@
         after: Position | None = None,
     ) -> Answer:
         """Run a statement with the session's variables set."""
-        answer = await self._pool.measure(
-            self._run(statement, settings, deadline, after)
-        )
+        permit = self.permit or await self._pool.admit_started(deadline)
+        try:
+            answer = await self._pool.measure(
+                self._run(statement, settings, deadline, after), permit
+            )
+        finally:
+            if permit is not None and permit is not self.permit:
+                permit.release()
         if self.is_aborted:
             # An answer that was received at that moment must not be passed on: the
             # commits of this VM have been named to the leader without it.
@@ -200,6 +208,12 @@
         """Roll back the transaction."""
         return await self.raw.rollback(deadline)
 
+    def return_permit(self) -> None:
+        """Let another statement run until this connection is used again."""
+        if self.permit is not None:
+            self.permit.release()
+            self.permit = None
+
     def release(self) -> None:
         """Give the connection back to its pool."""
         self._pool.release(self)
--- a/citronwood/relay/leases.py
+++ b/citronwood/relay/leases.py
@@ -248,6 +248,7 @@
             idle_s = rules.transaction_idle_s + IDLE_MARGIN_S
         primary = message.group if message.max_age_ms is None else None
         key = _LeaseKey(caller.name, caller.incarnation, message.lease)
+        connection.return_permit()
         self._leases[key] = _Lease(connection, primary, idle_s)
         if answer is None:
             return ForwardedAnswer(LeaseOutcome.ANSWERED)
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -135,7 +135,13 @@
         servers = Feed(kinds.servers, kinds.decode_servers, self._apply_servers)
         self._view = PrimaryView()
         self._commits = NewestCommits()
-        self._servers = Servers(connect, options.failure_domain, self._commits.note)
+        self._servers = Servers(
+            connect,
+            options.failure_domain,
+            self._commits.note,
+            options.schedules_statements,
+            metrics,
+        )
         self._servers_known = False
         self._missing_since: dict[str, float] = {}
         self._listed: dict[str, BackendServer] = {}
--- a/citronwood/relay/pool.py
+++ b/citronwood/relay/pool.py
@@ -19,13 +19,19 @@
 
 from citronwood.backend.queue import FairQueue
 from citronwood.deadline import deadline_in, has_passed, timeout_at
-from citronwood.errors import BackendUnavailableError, ServerFullError
+from citronwood.errors import (
+    BackendUnavailableError,
+    ConnectionLostError,
+    ServerFullError,
+)
+from citronwood.relay.admission import Permit, StatementGate
 from citronwood.relay.connection import PooledConnection, SessionSettings
 from citronwood.relay.model import BackendServer, Position
 from citronwood.relay.server_load import LoadMeter, ServerLoad
 from citronwood.relay.statement import (
     DEFAULT_URGENCY,
     Answer,
+    Reason,
     ServerConnector,
     Urgency,
 )
@@ -80,6 +86,8 @@
     on_commit : callable
         Called with the group and the position when the server has acknowledged a
         commit.
+    gate : StatementGate, optional
+        Decides which statement runs next at the server; None leaves it to the server.
     """
 
     def __init__(
@@ -88,8 +96,10 @@
         connect: ServerConnector,
         limit: int,
         on_commit: Callable[[str, Position | None], None] | None = None,
+        gate: StatementGate | None = None,
     ) -> None:
-        self.server = server
+        self._server = server
+        self._gate = gate
         self.on_commit = on_commit
         self._connect = connect
         self._queue = FairQueue(limit, lambda _: 1.0)
@@ -110,10 +120,22 @@
         self._connecting = 0
         self._meter = LoadMeter()
 
+    @property
+    def server(self) -> BackendServer:
+        """The server as its newest entry describes it."""
+        return self._server
+
+    @server.setter
+    def server(self, server: BackendServer) -> None:
+        self._server = server
+        if self._gate is not None:
+            self._gate.set_slots(server.slots)
+
     @property
     def load(self) -> int:
         """Number of requests that use or wait for a connection."""
-        return self._queue.in_use + self._queue.waiting
+        at_gate = 0 if self._gate is None else self._gate.waiting
+        return self._queue.in_use + self._queue.waiting + at_gate
 
     @property
     def server_load(self) -> ServerLoad:
@@ -121,13 +143,16 @@
         return ServerLoad(
             self.server.slots,
             self._meter.running,
-            self._queue.waiting,
+            self._queue.waiting + (0 if self._gate is None else self._gate.waiting),
             self._meter.mean_s * 1000,
         )
 
     def expected_wait_s(self, account: str, urgency: Urgency) -> float:
         """Return how long a statement that arrives now would wait for a slot."""
-        return self.server_load.expected_wait_s
+        wait_s = None
+        if self._gate is not None:
+            wait_s = self._gate.expected_wait_s(account, urgency)
+        return self.server_load.expected_wait_s if wait_s is None else wait_s
 
     @property
     def limit(self) -> int:
@@ -164,23 +189,37 @@
 
         Raises ``TimeoutError`` at the deadline, ``OverloadedError`` when none will be
         free in time, and ``BackendUnavailableError`` when none can be opened now.
+        Outside of transactions, the connection has a permit of the gate until it is
+        given back.
         """
+        permit = None
         if in_transaction:
             wait_end = min(deadline, deadline_in(TRANSACTION_WAIT_S))
             await self._transactions.acquire(account, wait_end, always_queue=False)
+        elif self._gate is not None:
+            permit = await self._gate.acquire(account, deadline, urgency)
         try:
-            connection = await self._acquire(account, settings, deadline)
+            connection = await self._acquire(account, settings, deadline, permit)
         except BaseException:
             if in_transaction:
                 self._transactions.release()
+            if permit is not None:
+                permit.release()
             raise
         connection.in_transaction = in_transaction
+        connection.permit = permit
         return connection
 
     async def _acquire(
-        self, account: str, settings: SessionSettings, deadline: float
+        self,
+        account: str,
+        settings: SessionSettings,
+        deadline: float,
+        permit: Permit | None,
     ) -> PooledConnection:
         await self._queue.acquire(account, deadline, always_queue=False)
+        if permit is not None:
+            permit.note_connection()
         try:
             connection = self._take_idle(account, settings)
             if connection is None:
@@ -191,7 +230,21 @@
         self._in_use.add(connection)
         return connection
 
-    async def measure(self, statement: Awaitable[Answer]) -> Answer:
+    async def admit_started(self, deadline: float) -> Permit | None:
+        """Wait until a statement of an open transaction or lease may run.
+
+        Raises ``ConnectionLostError`` at the deadline, since nothing was sent.
+        """
+        if self._gate is None:
+            return None
+        try:
+            return await self._gate.acquire_started(deadline)
+        except TimeoutError:
+            raise ConnectionLostError("no slot became free", sent=False) from None
+
+    async def measure(
+        self, statement: Awaitable[Answer], permit: Permit | None
+    ) -> Answer:
         """Run a statement and count it in the load of the server."""
         began_at = self._meter.begin()
         try:
@@ -200,6 +253,10 @@
             self._meter.abandon()
             raise
         self._meter.end(began_at, self.server.slots)
+        if permit is not None:
+            failure = answer.failure
+            is_busy = failure is not None and failure.reason is Reason.OVERLOADED
+            permit.note_answer(is_busy)
         return answer
 
     def release(self, connection: PooledConnection) -> None:
@@ -207,6 +264,7 @@
         if connection not in self._in_use:
             return
         self._in_use.discard(connection)
+        connection.return_permit()
         if connection.in_transaction:
             connection.in_transaction = False
             self._transactions.release()
@@ -244,6 +302,11 @@
                 kept.append(connection)
         self._idle = kept[::-1]
 
+    def report(self) -> None:
+        """Update the metrics of the gate."""
+        if self._gate is not None:
+            self._gate.report()
+
     def grow(self) -> None:
         """Raise a lowered limit by one, at most once in each interval."""
         time = monotonic()
@@ -286,6 +349,8 @@
     def close(self) -> None:
         """Close idle connections now and those in use when they are given back."""
         self._closed = True
+        if self._gate is not None:
+            self._gate.close()
         for connection in self._idle:
             connection.raw.abort()
         self._idle.clear()
--- a/citronwood/relay/servers.py
+++ b/citronwood/relay/servers.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable, Iterable
 from time import monotonic
 
+from citronwood.metrics import Metrics
+from citronwood.relay.admission import StatementGate
 from citronwood.relay.model import BackendServer, Position, Role, Rules
 from citronwood.relay.pool import ServerPool
 from citronwood.relay.statement import ServerConnector
@@ -31,17 +33,24 @@
 
 
 class Servers:
-    """Known backend servers with their connection pools."""
+    """Known backend servers with their connection pools.
+
+    With ``schedules_statements``, a gate at each pool orders the statements.
+    """
 
     def __init__(
         self,
         connect: ServerConnector,
         failure_domain: str,
         on_commit: Callable[[str, Position | None], None] | None = None,
+        schedules_statements: bool = False,
+        metrics: Metrics | None = None,
     ) -> None:
         self._connect = connect
         self._failure_domain = failure_domain
         self._on_commit = on_commit
+        self._schedules_statements = schedules_statements
+        self._metrics = metrics or Metrics()
         self._pools: dict[str, ServerPool] = {}
         # Pools of servers that left the list or were replaced, until unused.
         self._retired: list[ServerPool] = []
@@ -89,7 +98,12 @@
             existing = self._pools.get(server.id)
             if existing is None:
                 limit = self._connection_limit(server)
-                new_pool = ServerPool(server, self._connect, limit, self._on_commit)
+                gate = None
+                if self._schedules_statements:
+                    gate = StatementGate(server.id, server.slots, self._metrics)
+                new_pool = ServerPool(
+                    server, self._connect, limit, self._on_commit, gate
+                )
                 new_pool.resize(limit, self._share(server))
                 self._pools[server.id] = new_pool
             else:
@@ -141,6 +155,7 @@
         for pool in self._pools.values():
             pool.close_idle()
             pool.grow()
+            pool.report()
         self._retired = [pool for pool in self._retired if pool.load]
 
     def close(self) -> None:
