--- a/citronwood/operator/diagnosis.py
+++ b/citronwood/operator/diagnosis.py
@@ -111,7 +111,8 @@
         return _explain_refusal(refusal)
     relayed = _last_line(request_lines, "relayed")
     if relayed is not None:
-        return _explain_relayed(relayed, context)
+        gate = _last_line(request_lines, "gate")
+        return _explain_relayed(relayed, gate, context)
     statement = _last_line(request_lines, "statement")
     if statement is None:
         return (
@@ -194,7 +195,9 @@
     return f"{prefix} {gateway.message}."
 
 
-def _explain_relayed(line: DecisionLine, context: list[DecisionLine]) -> str:
+def _explain_relayed(
+    line: DecisionLine, gate: DecisionLine | None, context: list[DecisionLine]
+) -> str:
     """Explain a statement that the VM relayed to backend servers of the platform."""
     inputs = line.inputs
     tried = ", ".join(inputs["servers"]) or "no server"
@@ -208,6 +211,14 @@
         and candidate.inputs.get("group") == inputs["group"]
     ]
     explanation = f"{line.message} (tried: {tried})."
+    if gate is not None and line.outcome == "overloaded":
+        return (
+            f"{explanation} {gate.vm} expected no slot of {gate.inputs['server']} in"
+            f" time: {gate.inputs['running']} statements ran in"
+            f" {gate.inputs['slots']} slots, {gate.inputs['waiting']} others waited,"
+            f" and one took {gate.inputs['mean_ms']} ms; priority"
+            f" {gate.inputs['priority']}."
+        )
     if changes:
         last_change = changes[-1].inputs
         return (
--- a/citronwood/relay/forwarding.py
+++ b/citronwood/relay/forwarding.py
@@ -13,7 +13,7 @@
 from time import monotonic
 
 from citronwood.deadline import deadline_in, has_passed
-from citronwood.decisions import log_state
+from citronwood.decisions import current_request, log_state
 from citronwood.errors import (
     CallFailedError,
     ConnectionLostError,
@@ -269,6 +269,7 @@
             priority=urgency.priority,
             target_ms=int((urgency.target_at - monotonic()) * 1000),
             max_wait_ms=None if max_wait_s is None else int(max_wait_s * 1000),
+            request=current_request.get(),
         )
         try:
             answer = await self._rpc.call(
--- a/citronwood/relay/leases.py
+++ b/citronwood/relay/leases.py
@@ -14,7 +14,7 @@
 from typing import NamedTuple
 
 from citronwood.deadline import deadline_in, has_passed, timeout_at
-from citronwood.decisions import log_state
+from citronwood.decisions import current_request, log_state
 from citronwood.errors import (
     BackendUnavailableError,
     ConnectionLostError,
@@ -170,6 +170,7 @@
                 )
 
     async def _on_open(self, message: OpenLease, caller: Caller) -> ForwardedAnswer:
+        current_request.set(message.request)
         self._opening_count += 1
         try:
             return await self._open(message, caller)
--- a/citronwood/relay/messages.py
+++ b/citronwood/relay/messages.py
@@ -176,7 +176,8 @@
     session, as (term, number). ``rules_version`` is the version of the configuration
     that allowed the request. ``priority`` and ``target_ms``, the time left until the
     route's target latency, are as in ``citronwood.relay.statement.Urgency``. A read is
-    declined if its expected wait exceeds ``max_wait_ms``.
+    declined if its expected wait exceeds ``max_wait_ms``. ``request`` is the id of the
+    caller's request for the log, empty from VMs of earlier versions.
     """
 
     lease: int
@@ -193,6 +194,7 @@
     priority: int = 0
     target_ms: int | None = None
     max_wait_ms: int | None = None
+    request: str = ""
 
 
 class RunInLease(NamedTuple):
--- a/tests/test_diagnosis.py
+++ b/tests/test_diagnosis.py
@@ -67,6 +67,25 @@
             [line(1, "refusal", "refused", "r", code=9007, config_age_ms=4_000)],
             "nobody had confirmed its configuration for 4000 ms",
         ),
+        (
+            [
+                line(2, "relayed", "overloaded", "r", servers=["s1"], group="g"),
+                line(
+                    1.9,
+                    "gate",
+                    "refused",
+                    "r",
+                    vm="vm2",
+                    server="s1",
+                    priority=2,
+                    running=5,
+                    slots=4,
+                    waiting=40,
+                    mean_ms=16.1,
+                ),
+            ],
+            "vm2 expected no slot of s1 in time: 5 statements ran in 4 slots, 40",
+        ),
         ([gateway()], "line of the VM that the caller was connected to is missing"),
     ],
 )
