--- a/citronwood/relay/admission_order.py
+++ b/citronwood/relay/admission_order.py
@@ -239,7 +239,10 @@
             yield request
 
     def _level(self, priority: int) -> _PriorityLevel:
-        return self._levels.setdefault(priority, _PriorityLevel())
+        level = self._levels.get(priority)
+        if level is None:
+            level = self._levels[priority] = _PriorityLevel()
+        return level
 
 
 def _turns_before(waiting: Counter[str], account: str) -> int:
--- a/citronwood/relay/connection.py
+++ b/citronwood/relay/connection.py
@@ -143,7 +143,7 @@
         after: Position | None = None,
     ) -> Answer:
         """Run a statement with the session's variables set."""
-        permit = self.permit or await self._pool.admit_started(deadline)
+        permit = self.permit or await self._pool.admit_started(self, deadline)
         try:
             answer = await self._pool.measure(
                 self._run(statement, settings, deadline, after), permit
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -141,6 +141,7 @@
             self._commits.note,
             options.schedules_statements,
             metrics,
+            lambda server: self._view.primary_of(server.group) == server.id,
         )
         self._servers_known = False
         self._missing_since: dict[str, float] = {}
--- a/citronwood/relay/pool.py
+++ b/citronwood/relay/pool.py
@@ -88,6 +88,8 @@
         commit.
     gate : StatementGate, optional
         Decides which statement runs next at the server; None leaves it to the server.
+    is_primary : callable
+        Returns whether this VM may use the server as the primary of its group.
     """
 
     def __init__(
@@ -97,9 +99,11 @@
         limit: int,
         on_commit: Callable[[str, Position | None], None] | None = None,
         gate: StatementGate | None = None,
+        is_primary: Callable[[BackendServer], bool] = lambda _: True,
     ) -> None:
         self._server = server
         self._gate = gate
+        self._is_primary = is_primary
         self.on_commit = on_commit
         self._connect = connect
         self._queue = FairQueue(limit, lambda _: 1.0)
@@ -230,17 +234,24 @@
         self._in_use.add(connection)
         return connection
 
-    async def admit_started(self, deadline: float) -> Permit | None:
+    async def admit_started(
+        self, connection: PooledConnection, deadline: float
+    ) -> Permit | None:
         """Wait until a statement of an open transaction or lease may run.
 
-        Raises ``ConnectionLostError`` at the deadline, since nothing was sent.
+        Raises ``ConnectionLostError``, since nothing was sent, at the deadline or when
+        the primary was replaced, or this VM's lease for it has ended, during the wait.
         """
         if self._gate is None:
             return None
         try:
-            return await self._gate.acquire_started(deadline)
+            permit = await self._gate.acquire_started(deadline)
         except TimeoutError:
             raise ConnectionLostError("no slot became free", sent=False) from None
+        if connection.floor is None and not self._is_primary(self.server):
+            permit.release()
+            raise ConnectionLostError("the primary was replaced", sent=False)
+        return permit
 
     async def measure(
         self, statement: Awaitable[Answer], permit: Permit | None
--- a/citronwood/relay/servers.py
+++ b/citronwood/relay/servers.py
@@ -36,6 +36,7 @@
     """Known backend servers with their connection pools.
 
     With ``schedules_statements``, a gate at each pool orders the statements.
+    ``is_primary`` returns whether this VM may use a server as the primary of its group.
     """
 
     def __init__(
@@ -45,12 +46,14 @@
         on_commit: Callable[[str, Position | None], None] | None = None,
         schedules_statements: bool = False,
         metrics: Metrics | None = None,
+        is_primary: Callable[[BackendServer], bool] = lambda _: True,
     ) -> None:
         self._connect = connect
         self._failure_domain = failure_domain
         self._on_commit = on_commit
         self._schedules_statements = schedules_statements
         self._metrics = metrics or Metrics()
+        self._is_primary = is_primary
         self._pools: dict[str, ServerPool] = {}
         # Pools of servers that left the list or were replaced, until unused.
         self._retired: list[ServerPool] = []
@@ -102,7 +105,12 @@
                 if self._schedules_statements:
                     gate = StatementGate(server.id, server.slots, self._metrics)
                 new_pool = ServerPool(
-                    server, self._connect, limit, self._on_commit, gate
+                    server,
+                    self._connect,
+                    limit,
+                    self._on_commit,
+                    gate,
+                    self._is_primary,
                 )
                 new_pool.resize(limit, self._share(server))
                 self._pools[server.id] = new_pool
--- a/tests/test_relay_admission.py
+++ b/tests/test_relay_admission.py
@@ -430,6 +430,26 @@
     run_at_gate(scenario, limit=5)
 
 
+def test_started_work_is_not_sent_to_a_former_primary():
+    # Guards against statements that wait at the gate until another primary is
+    # promoted, or the VM's lease has ended, and are sent then.
+    async def scenario(pool, server):
+        started = await acquire(pool, in_transaction=True)
+        held = await fill(pool)
+        statement = READ._replace(text="0.01")
+        deadline = asyncio.get_running_loop().time() + 0.5
+        task = asyncio.create_task(started.run(statement, SessionSettings(), deadline))
+        await asyncio.sleep(0.01)
+        pool._is_primary = lambda _: False
+        release_all(held)
+        with pytest.raises(ConnectionLostError) as lost:
+            await task
+        assert not lost.value.sent
+        started.discard()
+
+    run_at_gate(scenario)
+
+
 def test_stopping_owner_answers_waiting_requests_of_other_vms():
     # Guards against permits and connections that a stopping owner keeps.
     async def scenario(pool, server):
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -152,6 +152,20 @@
     run(scenario)
 
 
+def test_owner_schedules_the_statements_of_other_vms():
+    # Guards against a switch that does not reach the pools of the owner.
+    async def scenario(fleet):
+        caller = await Caller.connect(fleet.sender.port)
+        for text in ("WRITE x 1", "READ x", "BEGIN", "WRITE x 2", "COMMIT"):
+            await execute_when_admitted(caller, text)
+        counters = fleet.owner.node._metrics.counters
+        # The write's lease; the write, and the transaction's write and commit.
+        assert counters["admission.granted.0"] >= 1
+        assert counters["admission.granted.started"] == 3
+
+    run(scenario, relay_options={"schedules_statements": True})
+
+
 def test_owner_bounds_the_age_of_forwarded_reads():
     async def scenario(fleet):
         caller = await Caller.connect(fleet.sender.port)
