--- a/citronwood/relay/forwarding.py
+++ b/citronwood/relay/forwarding.py
@@ -13,7 +13,7 @@
 from time import monotonic
 
 from citronwood.deadline import deadline_in, has_passed
-from citronwood.decisions import log_state
+from citronwood.decisions import current_request, log_state
 from citronwood.errors import (
     CallFailedError,
     ConnectionLostError,
@@ -27,6 +27,7 @@
 )
 from citronwood.inner.rpc import Rpc
 from citronwood.relay.clock import now
+from citronwood.relay.connection import SessionSettings
 from citronwood.relay.leases import (
     LeaseOutcome,
     decode_answer,
@@ -42,7 +43,6 @@
 )
 from citronwood.relay.model import BackendServer, Position, Rules
 from citronwood.relay.owners import Owners, PeerHealth
-from citronwood.relay.pool import SessionSettings
 from citronwood.relay.positions import Observation
 from citronwood.relay.routing import Use
 from citronwood.relay.statement import Answer, Statement, TransactionState
@@ -269,6 +269,7 @@
             priority=urgency.priority,
             target_ms=int((urgency.target_at - monotonic()) * 1000),
             max_wait_ms=None if max_wait_s is None else int(max_wait_s * 1000),
+            request=current_request.get(),
         )
         try:
             answer = await self._rpc.call(
--- a/citronwood/relay/leases.py
+++ b/citronwood/relay/leases.py
@@ -14,7 +14,7 @@
 from typing import NamedTuple
 
 from citronwood.deadline import deadline_in, has_passed, timeout_at
-from citronwood.decisions import log_state
+from citronwood.decisions import current_request, log_state
 from citronwood.errors import (
     BackendUnavailableError,
     ConnectionLostError,
@@ -25,6 +25,11 @@
 )
 from citronwood.inner.rpc import Caller, Rpc
 from citronwood.relay.clock import now
+from citronwood.relay.connection import (
+    PooledConnection,
+    PreparedStatement,
+    SessionSettings,
+)
 from citronwood.relay.messages import (
     AskPosition,
     EndLease,
@@ -35,11 +40,6 @@
     RunInLease,
 )
 from citronwood.relay.model import Position, Rules
-from citronwood.relay.pool import (
-    PooledConnection,
-    PreparedStatement,
-    SessionSettings,
-)
 from citronwood.relay.routing import PositionReader, ReadBounds, find_floor
 from citronwood.relay.servers import Servers
 from citronwood.relay.statement import (
@@ -170,6 +170,7 @@
                 )
 
     async def _on_open(self, message: OpenLease, caller: Caller) -> ForwardedAnswer:
+        current_request.set(message.request)
         self._opening_count += 1
         try:
             return await self._open(message, caller)
@@ -248,6 +249,7 @@
             idle_s = rules.transaction_idle_s + IDLE_MARGIN_S
         primary = message.group if message.max_age_ms is None else None
         key = _LeaseKey(caller.name, caller.incarnation, message.lease)
+        connection.return_permit()
         self._leases[key] = _Lease(connection, primary, idle_s)
         if answer is None:
             return ForwardedAnswer(LeaseOutcome.ANSWERED)
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -135,7 +135,14 @@
         servers = Feed(kinds.servers, kinds.decode_servers, self._apply_servers)
         self._view = PrimaryView()
         self._commits = NewestCommits()
-        self._servers = Servers(connect, options.failure_domain, self._commits.note)
+        self._servers = Servers(
+            connect,
+            options.failure_domain,
+            self._commits.note,
+            options.schedules_statements,
+            metrics,
+            lambda server: self._view.primary_of(server.group) == server.id,
+        )
         self._servers_known = False
         self._missing_since: dict[str, float] = {}
         self._listed: dict[str, BackendServer] = {}
