--- a/citronwood/errors.py
+++ b/citronwood/errors.py
@@ -156,6 +156,17 @@
         self.excess_s = excess_s
 
 
+class ReadDeclinedError(BackendError):
+    """A read would wait for longer at a server than it accepts; it has not run.
+
+    ``wait_s`` is the expected wait.
+    """
+
+    def __init__(self, wait_s: float) -> None:
+        super().__init__(f"the expected wait is {wait_s:.3f} s")
+        self.wait_s = wait_s
+
+
 class ConnectionLostError(BackendError):
     """A backend connection broke or timed out.
 
--- a/citronwood/relay/forwarding.py
+++ b/citronwood/relay/forwarding.py
@@ -23,6 +23,7 @@
     OverloadedError,
     PeerSilentError,
     PeerUnavailableError,
+    ReadDeclinedError,
     ServerFullError,
 )
 from citronwood.inner.rpc import Rpc
@@ -45,6 +46,7 @@
 from citronwood.relay.pool import SessionSettings
 from citronwood.relay.positions import Observation
 from citronwood.relay.routing import Use
+from citronwood.relay.server_load import ServerLoad
 from citronwood.relay.statement import Answer, Statement, TransactionState
 
 log = logging.getLogger(__name__)
@@ -171,6 +173,8 @@
         Name of this VM.
     is_useful : callable
         Returns whether a server's connections are too few for all VMs.
+    note_load : callable
+        Called with a server and its load, as its owner has reported it.
     """
 
     def __init__(
@@ -179,11 +183,13 @@
         owners: Owners,
         rules: Callable[[], Rules | None],
         is_useful: Callable[[str], bool],
+        note_load: Callable[[str, ServerLoad], None] | None = None,
     ) -> None:
         self._name = name
         self._owners = owners
         self._rules = rules
         self._is_useful = is_useful
+        self._note_load = note_load
         self._health = PeerHealth()
         self._rpc: Rpc | None = None
         self._leases = count(1)
@@ -303,6 +309,10 @@
         """Return the answer, None if another VM may serve the request, or raise."""
         self._health.note_answered()
         outcome = answer.outcome
+        if answer.load is not None and self._note_load is not None:
+            self._note_load(server.id, answer.load)
+        if outcome == LeaseOutcome.DECLINED:
+            raise ReadDeclinedError(answer.excess_ms / 1000)
         if outcome == LeaseOutcome.OVERLOADED:
             raise OverloadedError(answer.excess_ms / 1000)
         if outcome == LeaseOutcome.NO_POSITION:
--- a/citronwood/relay/leases.py
+++ b/citronwood/relay/leases.py
@@ -172,7 +172,11 @@
     async def _on_open(self, message: OpenLease, caller: Caller) -> ForwardedAnswer:
         self._opening_count += 1
         try:
-            return await self._open(message, caller)
+            answer = await self._open(message, caller)
+            pool, balance = self._servers.get(message.server), self._servers.balance
+            if pool is None or balance is None:
+                return answer
+            return answer._replace(load=balance.present_load(pool))
         finally:
             self._opening_count -= 1
             self._changed.set()
@@ -184,15 +188,27 @@
         pool = self._servers.get(message.server)
         assert pool is not None
         settings = _decode_settings(message.variables, message.statement)
+        balance = self._servers.balance
+        urgency = _urgency(message)
         try:
             floor = await self._floor(message, caller.deadline)
-            connection = await pool.acquire(
-                message.account,
-                settings,
-                caller.deadline,
-                in_transaction=bool(message.begin),
-                urgency=_urgency(message),
-            )
+            if balance is not None:
+                wait_s = balance.accepts(pool, message.account, urgency)
+                if wait_s is not None:
+                    wait_ms = math.ceil(wait_s * 1000)
+                    return ForwardedAnswer(LeaseOutcome.DECLINED, excess_ms=wait_ms)
+                balance.begin_arrival(message.server)
+            try:
+                connection = await pool.acquire(
+                    message.account,
+                    settings,
+                    caller.deadline,
+                    in_transaction=bool(message.begin),
+                    urgency=urgency,
+                )
+            finally:
+                if balance is not None:
+                    balance.end_arrival(message.server)
         except NoPositionError as error:
             return ForwardedAnswer(LeaseOutcome.NO_POSITION, str(error))
         except OverloadedError as error:
--- a/citronwood/relay/messages.py
+++ b/citronwood/relay/messages.py
@@ -218,8 +218,9 @@
     """Answer of a backend server, or the reason why there is none.
 
     ``outcome`` is a value of ``citronwood.relay.leases.LeaseOutcome`` and ``detail``
-    describes it. ``excess_ms`` is as in ``OverloadedError``. The other fields are those
-    of ``citronwood.relay.statement.Answer``. ``load`` is the load of the server at its
+    describes it. ``excess_ms`` is as in ``OverloadedError``, or the expected wait of a
+    declined read. The other fields are those of
+    ``citronwood.relay.statement.Answer``. ``load`` is the load of the server at its
     owner after the request.
     """
 
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -15,6 +15,7 @@
 from citronwood.metrics import Metrics
 from citronwood.platform.api import Listing, ObjectStore
 from citronwood.relay.absence import PrimaryAbsences
+from citronwood.relay.balance import ReadBalance
 from citronwood.relay.clock import now
 from citronwood.relay.failover import Failover
 from citronwood.relay.feeds import Feed
@@ -135,13 +136,20 @@
         servers = Feed(kinds.servers, kinds.decode_servers, self._apply_servers)
         self._view = PrimaryView()
         self._commits = NewestCommits()
-        self._servers = Servers(connect, options.failure_domain, self._commits.note)
+        balance = ReadBalance(metrics) if options.balances_reads else None
+        self._servers = Servers(
+            connect, options.failure_domain, self._commits.note, balance
+        )
         self._servers_known = False
         self._missing_since: dict[str, float] = {}
         self._listed: dict[str, BackendServer] = {}
         self._owners = Owners(options.name)
         self._forwarding = Forwarding(
-            options.name, self._owners, lambda: self._rules, self._is_forwarding_useful
+            options.name,
+            self._owners,
+            lambda: self._rules,
+            self._is_forwarding_useful,
+            None if balance is None else balance.note_load,
         )
         self._probes = Probes(
             self._servers, connect, self._view, self._forwarding.ask_position
--- a/citronwood/relay/routing.py
+++ b/citronwood/relay/routing.py
@@ -14,9 +14,11 @@
     BackendUnavailableError,
     NoPositionError,
     OverloadedError,
+    ReadDeclinedError,
     StatementRefusedError,
 )
 from citronwood.relay.absence import PrimaryAbsences
+from citronwood.relay.balance import ReadAttempts, Result
 from citronwood.relay.clock import now
 from citronwood.relay.model import (
     Account,
@@ -111,8 +113,9 @@
     ) -> LeasedConnection | None:
         """Return a connection of another VM; None to use one of this VM.
 
-        Raises as ``ServerPool.acquire``, and ``NoPositionError`` when no position is
-        known that covers the bounds. Nothing but a read or the begin of a transaction
+        Raises as ``ServerPool.acquire``, ``ReadDeclinedError`` when a read would wait
+        for longer than it accepts, and ``NoPositionError`` when no position is known
+        that covers the bounds. Nothing but a read or the begin of a transaction
         has run then.
         """
         ...
@@ -165,6 +168,19 @@
         self.via = ""
         self.floor: Position | None = None
         self.retries = 0
+        # Servers that declined the read because of its expected wait.
+        self.declined = 0
+
+
+class Reader(NamedTuple):
+    """Server for a read, and what its log must hold; at the primary without bounds.
+
+    The server may decline the read if it has to wait for longer than ``max_wait_s``.
+    """
+
+    pool: ServerPool
+    bounds: ReadBounds | None
+    max_wait_s: float | None = None
 
 
 class LastCommit(NamedTuple):
@@ -196,16 +212,23 @@
         self._context.servers.mark_suspect(pool.server.id)
 
     async def acquire_connection(
-        self, pool: ServerPool, use: Use, excluded: set[str], deadline: float
+        self, pool: ServerPool, use: Use, attempts: ReadAttempts, deadline: float
     ) -> LeasedConnection | None:
         """Take a connection to a replica, or without bounds to the primary.
 
         Returns None when a server has to be chosen again. Servers that gave no
-        connection have then been added to ``excluded``.
+        connection have then been excluded from, or have declined, further attempts.
         """
-        at_primary = use.bounds is None
+        excluded = attempts.excluded
+        # Chosen for its free slot; another server may serve the read as well.
+        has_choice = use.urgency.max_wait_s is not None
+        at_primary = use.bounds is None and not has_choice
         try:
             connection = await self._acquire(pool, use, deadline)
+        except ReadDeclinedError as error:
+            self.trace.declined += 1
+            attempts.note_declined(pool.server.id, error.wait_s)
+            return None
         except NoPositionError:
             # Only the primary can serve the read.
             servers = self._context.servers.of_group(pool.server.group)
@@ -222,7 +245,10 @@
             excluded.add(pool.server.id)
             return None
         server = pool.server
-        if at_primary and self._context.view.primary_of(server.group) != server.id:
+        if (
+            use.bounds is None
+            and self._context.view.primary_of(server.group) != server.id
+        ):
             connection.release()
             return None
         self.trace.floor = connection.floor
@@ -234,7 +260,8 @@
     ) -> LeasedConnection:
         """Take a connection that another VM or this one holds.
 
-        Raises ``StatementRefusedError`` when none is free in time, and
+        Raises ``StatementRefusedError`` when none is free in time,
+        ``ReadDeclinedError`` when none is free soon enough, and
         ``BackendUnavailableError`` when none can be opened now.
         """
         self.trace.servers.append(pool.server.id)
@@ -247,13 +274,23 @@
                 floor = await find_floor(
                     self._context.positions, pool.server.group, use.bounds, deadline
                 )
-            connection = await pool.acquire(
-                use.account,
-                use.settings,
-                deadline,
-                in_transaction=bool(use.begin),
-                urgency=use.urgency,
-            )
+            balance = self._context.servers.balance
+            if balance is not None:
+                wait_s = balance.accepts(pool, use.account, use.urgency)
+                if wait_s is not None:
+                    raise ReadDeclinedError(wait_s)
+                balance.begin_arrival(pool.server.id)
+            try:
+                connection = await pool.acquire(
+                    use.account,
+                    use.settings,
+                    deadline,
+                    in_transaction=bool(use.begin),
+                    urgency=use.urgency,
+                )
+            finally:
+                if balance is not None:
+                    balance.end_arrival(pool.server.id)
             connection.floor = floor
             return connection
         except OverloadedError as error:
@@ -292,14 +329,12 @@
         route: Route,
         account: Account,
         started_at: float,
-        excluded: set[str],
+        attempts: ReadAttempts,
         last_commit: LastCommit,
         deadline: float,
-    ) -> tuple[ServerPool, ReadBounds | None]:
-        """Return a server for a read, and what its log must hold.
-
-        Without bounds, the server is the primary.
-        """
+    ) -> Reader:
+        """Return a server for a read, what its log must hold, and the longest wait."""
+        attempts.finish(Result.UNKNOWN)
         commit_floor = self._context.positions.positions(route.group).clamp(
             last_commit.position
         )
@@ -312,21 +347,38 @@
             and route.consistency is not Consistency.PRIMARY
             and not has_recent_commit
         ):
-            primary = self._context.view.named_primary(route.group)
-            pool = self._context.servers.choose_replica(
-                route.group, primary, account.name, excluded
+            own_commit = (
+                commit_floor
+                if route.consistency is Consistency.READ_YOUR_WRITES
+                else None
             )
-            if pool is not None:
-                own_commit = (
-                    commit_floor
-                    if route.consistency is Consistency.READ_YOUR_WRITES
-                    else None
+            oldest = started_at - route.max_age_s
+            bounds = ReadBounds(oldest, route.max_age_s, own_commit)
+            view, servers = self._context.view, self._context.servers
+            named_primary = view.named_primary(route.group)
+            if servers.balance is None:
+                pool = servers.choose_replica(
+                    route.group, named_primary, account.name, attempts.excluded
+                )
+                if pool is not None:
+                    return Reader(pool, bounds)
+            else:
+                primary = view.primary_of(route.group)
+                chosen = servers.choose_balanced(
+                    route.group, named_primary, primary, attempts
                 )
-                oldest = started_at - route.max_age_s
-                return pool, ReadBounds(oldest, route.max_age_s, own_commit)
+                if chosen is not None:
+                    pool, max_wait_s = chosen
+                    at_primary = pool.server.id == primary
+                    return Reader(pool, None if at_primary else bounds, max_wait_s)
         if has_passed(deadline):
             raise refusal(Reason.OVERLOADED, "no server could take the read")
-        return await self.wait_for_primary(route, deadline), None
+        primary = self._context.view.primary_of(route.group)
+        if attempts.failed_at and primary in (None, attempts.failed_at):
+            raise refusal(Reason.FAILED, "no other server can run the read")
+        pool = await self.wait_for_primary(route, deadline)
+        self._context.servers.start_read(pool, attempts)
+        return Reader(pool, None)
 
     async def wait_before_retry(self, deadline: float, cause: str) -> None:
         """Back off before a retry; raise if the deadline leaves no time for one.
--- a/citronwood/relay/servers.py
+++ b/citronwood/relay/servers.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 from time import monotonic
 
+from citronwood.relay.balance import Candidate, ReadAttempts, ReadBalance
 from citronwood.relay.model import BackendServer, Position, Role, Rules
 from citronwood.relay.pool import ServerPool
 from citronwood.relay.statement import ServerConnector
@@ -38,7 +39,10 @@
         connect: ServerConnector,
         failure_domain: str,
         on_commit: Callable[[str, Position | None], None] | None = None,
+        balance: ReadBalance | None = None,
     ) -> None:
+        # Set if reads are balanced by the load of the servers.
+        self.balance = balance
         self._connect = connect
         self._failure_domain = failure_domain
         self._on_commit = on_commit
@@ -77,13 +81,17 @@
     def replace(self, servers: Iterable[BackendServer]) -> None:
         """Apply the platform's newest list of servers."""
         listed = {entry.id: entry for entry in servers}
+        dropped = []
         for server_id, pool in list(self._pools.items()):
             new = listed.get(server_id)
             if new is None or _is_replaced(pool.server, new):
                 pool.close()
                 del self._pools[server_id]
+                dropped.append(server_id)
                 if pool.load:
                     self._retired.append(pool)
+        if self.balance is not None:
+            self.balance.forget(dropped)
         groups: dict[str, list[str]] = {}
         for server in listed.values():
             existing = self._pools.get(server.id)
@@ -136,6 +144,51 @@
                 best, best_cost = pool, cost
         return best
 
+    def choose_balanced(
+        self,
+        group: str,
+        named_primary: str | None,
+        primary: str | None,
+        attempts: ReadAttempts,
+    ) -> tuple[ServerPool, float | None] | None:
+        """Return a server for a read, and the longest wait to accept there.
+
+        ``primary`` is None while the named one may not be used. Returns None if only
+        the primary may serve the read.
+        """
+        assert self.balance is not None
+        candidates = {}
+        for server_id in self._groups.get(group, ()):
+            pool = self._pools[server_id]
+            server = pool.server
+            is_primary = server_id == primary
+            is_replica = server.role is Role.REPLICA and server_id != named_primary
+            if not server.draining and (is_primary or is_replica):
+                candidates[server_id] = self._candidate(pool, is_primary)
+        choice = self.balance.choose(candidates.values(), attempts)
+        if choice is None:
+            return None
+        attempts.start(candidates[choice.server])
+        return self._pools[choice.server], choice.max_wait_s
+
+    def start_read(self, pool: ServerPool, attempts: ReadAttempts) -> None:
+        """Count a read that only the primary may serve."""
+        if self.balance is not None:
+            attempts.start(self._candidate(pool, is_primary=True))
+
+    def _candidate(self, pool: ServerPool, is_primary: bool) -> Candidate:
+        assert self.balance is not None
+        server = pool.server
+        is_forwarded = self._owns(server) is False
+        return Candidate(
+            server.id,
+            server.slots,
+            server.failure_domain == self._failure_domain,
+            is_primary,
+            self._is_suspect(pool),
+            None if is_forwarded else self.balance.present_load(pool),
+        )
+
     def maintain(self) -> None:
         """Close connections that were idle for too long and raise lowered limits."""
         for pool in self._pools.values():
@@ -155,12 +208,14 @@
             cost += REMOTE_COST
         if not pool.has_idle(account):
             cost += CONNECT_COST
-        if not pool.is_usable or monotonic() < self._suspect_until.get(
-            pool.server.id, 0.0
-        ):
+        if self._is_suspect(pool):
             cost += SUSPECT_COST
         return cost
 
+    def _is_suspect(self, pool: ServerPool) -> bool:
+        suspect_until = self._suspect_until.get(pool.server.id, 0.0)
+        return not pool.is_usable or monotonic() < suspect_until
+
     def _share(self, server: BackendServer) -> int:
         """Return how many connections to a server this VM may keep.
 
--- a/citronwood/relay/session.py
+++ b/citronwood/relay/session.py
@@ -3,9 +3,10 @@
 import logging
 from time import monotonic
 
-from citronwood.deadline import deadline_in
+from citronwood.deadline import deadline_in, time_left
 from citronwood.decisions import current_request, may_log, write_request
 from citronwood.errors import ConnectionLostError, StatementRefusedError
+from citronwood.relay.balance import MIN_RERUN_S, ReadAttempts, Result, judge
 from citronwood.relay.clock import now
 from citronwood.relay.model import Account, Position, Route, Rules
 from citronwood.relay.pool import (
@@ -69,6 +70,16 @@
     return Urgency(route.priority, deadline_in(target_s))
 
 
+def _may_rerun(answer: Answer, deadline: float) -> bool:
+    """Whether a read that has failed at a server may run at another one."""
+    failure = answer.failure
+    return (
+        failure is not None
+        and failure.reason is Reason.FAILED
+        and time_left(deadline) > MIN_RERUN_S
+    )
+
+
 def _to_ms(seconds: float) -> int:
     return round(seconds * 1000)
 
@@ -159,6 +170,7 @@
             via=trace.via,
             primary=view.named_primary(trace.group),
             floor=trace.floor,
+            declined=trace.declined,
             position_age_ms=None if newest is None else _to_ms(now() - newest.asked_at),
             state_version=view.version,
             lease_left_ms=_to_ms(view.valid_until - now()),
@@ -254,7 +266,7 @@
         while True:
             pool = await self._router.wait_for_primary(route, deadline)
             connection = await self._router.acquire_connection(
-                pool, use, set(), deadline
+                pool, use, ReadAttempts(None), deadline
             )
             if connection is None:
                 continue
@@ -280,12 +292,67 @@
     async def _read(
         self, statement: Statement, route: Route, account: Account, deadline: float
     ) -> Answer:
+        attempts = ReadAttempts(self._context.servers.balance, self._database)
+        try:
+            answer = await self._attempt_read(
+                statement, route, account, attempts, deadline
+            )
+            if not _may_rerun(answer, deadline):
+                attempts.finish(judge(answer), served=answer.failure is None)
+                return answer
+            return await self._rerun_read(
+                statement, route, account, attempts, answer, deadline
+            )
+        finally:
+            attempts.finish(Result.UNKNOWN)
+
+    async def _rerun_read(
+        self,
+        statement: Statement,
+        route: Route,
+        account: Account,
+        attempts: ReadAttempts,
+        first_answer: Answer,
+        deadline: float,
+    ) -> Answer:
+        """Run a read that has failed at another server; return the better answer.
+
+        Only an answer of another server shows that the first one was at fault, and not
+        the statement.
+        """
+        first = attempts.set_aside()
+        if first is None:
+            return first_answer
+        try:
+            answer = await self._attempt_read(
+                statement, route, account, attempts, deadline
+            )
+        except StatementRefusedError:
+            return first_answer
+        else:
+            if answer.failure is not None:
+                return first_answer
+            first.finish(Result.FAILED)
+            attempts.finish(Result.GOOD, served=True)
+            return answer
+        finally:
+            first.finish(Result.UNKNOWN)
+
+    async def _attempt_read(
+        self,
+        statement: Statement,
+        route: Route,
+        account: Account,
+        attempts: ReadAttempts,
+        deadline: float,
+    ) -> Answer:
+        """Run a read until a server has run it."""
         started_at = now()
         urgency = _urgency(route)
-        excluded: set[str] = set()
+        excluded = attempts.excluded
         while True:
-            pool, bounds = await self._router.choose_reader(
-                route, account, started_at, excluded, self._last_commit, deadline
+            pool, bounds, max_wait_s = await self._router.choose_reader(
+                route, account, started_at, attempts, self._last_commit, deadline
             )
             use = Use(
                 self._database,
@@ -294,10 +361,10 @@
                 bounds,
                 "",
                 statement,
-                urgency,
+                urgency._replace(max_wait_s=max_wait_s),
             )
             connection = await self._router.acquire_connection(
-                pool, use, excluded, deadline
+                pool, use, attempts, deadline
             )
             if connection is None:
                 continue
@@ -310,6 +377,7 @@
                 connection.discard()
                 self._router.mark_suspect(pool)
                 excluded.add(pool.server.id)
+                attempts.finish(Result.FAILED)
                 await self._router.wait_before_retry(
                     deadline, f"the answer was lost: {error}"
                 )
@@ -318,7 +386,11 @@
             failure = answer.failure
             if failure is not None and failure.reason in NOT_RUN:
                 excluded.add(pool.server.id)
-                if at_primary:
+                if failure.reason is Reason.BEHIND and bounds is not None:
+                    attempts.note_behind(bounds.commit is not None)
+                else:
+                    attempts.finish(judge(answer))
+                if at_primary and max_wait_s is None:
                     await self._router.wait_before_retry(deadline, failure.message)
                 continue
             if at_primary:
@@ -405,17 +477,33 @@
         self, transaction: _Transaction, deadline: float
     ) -> None:
         """Begin the transaction at a backend server."""
+        urgency = _urgency(transaction.route)
+        balance = self._context.servers.balance if transaction.read_only else None
+        attempts = ReadAttempts(balance, self._database)
+        try:
+            await self._attempt_begin(transaction, attempts, urgency, deadline)
+        finally:
+            attempts.finish(Result.UNKNOWN)
+
+    async def _attempt_begin(
+        self,
+        transaction: _Transaction,
+        attempts: ReadAttempts,
+        urgency: Urgency,
+        deadline: float,
+    ) -> None:
+        """Try servers until one has begun the transaction."""
         route, account = transaction.route, transaction.account
-        urgency = _urgency(route)
-        excluded: set[str] = set()
+        excluded = attempts.excluded
         while True:
             bounds: ReadBounds | None = None
+            max_wait_s: float | None = None
             if transaction.read_only:
-                pool, bounds = await self._router.choose_reader(
+                pool, bounds, max_wait_s = await self._router.choose_reader(
                     route,
                     account,
                     transaction.began_at,
-                    excluded,
+                    attempts,
                     self._last_commit,
                     deadline,
                 )
@@ -429,10 +517,10 @@
                 bounds,
                 kind,
                 None,
-                urgency,
+                urgency._replace(max_wait_s=max_wait_s),
             )
             connection = await self._router.acquire_connection(
-                pool, use, excluded, deadline
+                pool, use, attempts, deadline
             )
             if connection is None:
                 continue
@@ -444,18 +532,24 @@
                 connection.discard()
                 self._router.mark_suspect(pool)
                 excluded.add(pool.server.id)
+                attempts.finish(Result.FAILED)
                 await self._router.wait_before_retry(
                     deadline, f"the connection was lost: {error}"
                 )
                 continue
             if answer.failure is None:
+                attempts.finish(Result.GOOD, served=True)
                 transaction.pool = pool
                 transaction.connection = connection
                 transaction.at_primary = bounds is None
                 return
             connection.discard()
             excluded.add(pool.server.id)
-            if bounds is None:
+            if answer.failure.reason is Reason.BEHIND and bounds is not None:
+                attempts.note_behind(bounds.commit is not None)
+            else:
+                attempts.finish(judge(answer))
+            if bounds is None and max_wait_s is None:
                 await self._router.wait_before_retry(deadline, answer.failure.message)
 
     async def _roll_back(self) -> None:
