--- a/citronwood/relay/balance.py
+++ b/citronwood/relay/balance.py
@@ -18,6 +18,7 @@
 from typing import NamedTuple
 
 from citronwood.decisions import log_state
+from citronwood.errors import ConnectionLostError
 from citronwood.metrics import Metrics
 from citronwood.relay.pool import ServerPool
 from citronwood.relay.server_load import INITIAL_MEAN_S, ServerLoad
@@ -84,6 +85,14 @@
     return Result.FAILED if answer.failure.reason in _FAULTS else Result.UNKNOWN
 
 
+def judge_loss(error: ConnectionLostError) -> Result:
+    """Return what a lost connection says about the server.
+
+    Before the statement was sent, the session's settings may have been at fault.
+    """
+    return Result.FAILED if error.sent else Result.UNKNOWN
+
+
 class Candidate(NamedTuple):
     """Server that may serve a read.
 
@@ -153,10 +162,12 @@
 class _Report(NamedTuple):
     """Statements at a server per slot, their mean time, and the weight of this.
 
-    The weight is 1 for what is known exactly, and 0 for what is not known.
+    The weight is 1 for what is known exactly, and 0 for what is not known. ``newest``
+    is the number of statements that the newest report still proves.
     """
 
     occupancy: float
+    newest: float
     mean_s: float
     weight: float
 
@@ -164,11 +175,13 @@
 class _Estimate(NamedTuple):
     """Estimated load of a candidate.
 
-    ``weight`` is 1 for a load that is known exactly, and 0 for an unknown one.
+    ``weight`` is as in ``_Report``. A slot may be free although a wait is expected,
+    because that is a mean.
     """
 
     candidate: Candidate
     weight: float
+    may_be_free: bool
     wait_s: float
     cost_s: float
 
@@ -216,7 +229,7 @@
         free = [
             estimate
             for estimate in estimates
-            if not (estimate.candidate.is_primary and estimate.wait_s > 0)
+            if not estimate.candidate.is_primary or estimate.may_be_free
         ]
         healthy = [one for one in free if not self._is_last(one)] or free
         usable = [one for one in healthy if one.candidate.server not in declined]
@@ -243,6 +256,7 @@
             declined.get(other.candidate.server, other.wait_s)
             for other in alternatives
             if other.candidate.server != server
+            and not (other.candidate.is_primary and other.candidate.server in declined)
         ]
         if not others:
             return Choice(server, None)
@@ -295,6 +309,10 @@
             if candidate.load is None:
                 ahead += self._sent_since_report(candidate.server)
             slot_time_s = (report.mean_s or mean_s or INITIAL_MEAN_S) / slots
+            if candidate.is_primary:
+                # No reads wait there, whatever is known of the replicas. One slot is
+                # kept for writes as long as reads need not wait elsewhere.
+                ahead = min(ahead, float(slots)) + 1
             wait_s = max(0.0, ahead + 1 - slots) * slot_time_s
             cost_s = wait_s
             if not candidate.is_in_own_domain:
@@ -303,24 +321,27 @@
                 # VMs with equally old reports would otherwise choose the same server.
                 cost_s += self._rng.random() * (1 - weight) * slot_time_s
             cost_s += self._failure_share(candidate.server, time) * FAILURE_COST_S
-            estimates.append(_Estimate(candidate, weight, wait_s, cost_s))
+            may_be_free = report.newest < slots - 0.5
+            estimates.append(_Estimate(candidate, weight, may_be_free, wait_s, cost_s))
         return estimates
 
     def _report(self, candidate: Candidate, time: float) -> _Report:
         """Return what is known about the load of a server, and its weight."""
         load = candidate.load
         if load is not None:
-            return _Report(_occupancy(load), load.mean_ms / 1000, 1.0)
+            newest = load.running + load.waiting
+            return _Report(_occupancy(load), newest, load.mean_ms / 1000, 1.0)
         known = self._known.get(candidate.server)
         age_s = math.inf if known is None else time - known.load_at
         if known is None or known.load is None or age_s >= MAX_REPORT_AGE_S:
-            return _Report(0.0, 0.0, 0.0)
-        newest = known.load.running + known.load.waiting
-        ahead = known.ahead + (newest - known.ahead) * 0.5 ** (
-            age_s / SNAPSHOT_HALF_LIFE_S
-        )
+            return _Report(0.0, 0.0, 0.0, 0.0)
+        load, newest_weight = known.load, 0.5 ** (age_s / SNAPSHOT_HALF_LIFE_S)
+        newest = load.running + load.waiting
+        ahead = known.ahead + (newest - known.ahead) * newest_weight
         weight = 0.5 ** (age_s / REPORT_HALF_LIFE_S)
-        return _Report(ahead / known.load.slots, known.load.mean_ms / 1000, weight)
+        return _Report(
+            ahead / load.slots, newest * newest_weight, load.mean_ms / 1000, weight
+        )
 
     def _sent_since_report(self, server: str) -> int:
         known = self._known.get(server)
@@ -395,6 +416,9 @@
         known.decay(time)
         known.answers += 1
         if result is Result.GOOD:
+            if known.is_failing:
+                text = f"gateway: {server} has served a read and is used again"
+                log_state(log, "balance", "used_again", text, server=server)
             known.failed_in_a_row = 0
             return
         known.failures += 1
--- a/citronwood/relay/session.py
+++ b/citronwood/relay/session.py
@@ -6,7 +6,13 @@
 from citronwood.deadline import deadline_in, time_left
 from citronwood.decisions import current_request, may_log, write_request
 from citronwood.errors import ConnectionLostError, StatementRefusedError
-from citronwood.relay.balance import MIN_RERUN_S, ReadAttempts, Result, judge
+from citronwood.relay.balance import (
+    MIN_RERUN_S,
+    ReadAttempts,
+    Result,
+    judge,
+    judge_loss,
+)
 from citronwood.relay.clock import now
 from citronwood.relay.model import Account, Position, Route, Rules
 from citronwood.relay.pool import (
@@ -377,7 +383,7 @@
                 connection.discard()
                 self._router.mark_suspect(pool)
                 excluded.add(pool.server.id)
-                attempts.finish(Result.FAILED)
+                attempts.finish(judge_loss(error))
                 await self._router.wait_before_retry(
                     deadline, f"the answer was lost: {error}"
                 )
@@ -532,7 +538,7 @@
                 connection.discard()
                 self._router.mark_suspect(pool)
                 excluded.add(pool.server.id)
-                attempts.finish(Result.FAILED)
+                attempts.finish(judge_loss(error))
                 await self._router.wait_before_retry(
                     deadline, f"the connection was lost: {error}"
                 )
