--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -41,10 +41,10 @@
 
 
 class Vm:
-    def __init__(self, name, store, group):
+    def __init__(self, name, store, group, **relay_options):
         self.port = reserve_port()
         self.node = RelayNode(
-            RelayOptions(name, "z1", "127.0.0.1", reserve_port()),
+            RelayOptions(name, "z1", "127.0.0.1", reserve_port(), **relay_options),
             store,
             FEED_KINDS,
             connect,
@@ -79,12 +79,15 @@
 
 
 @asynccontextmanager
-async def fleet(count=2, **options):
+async def fleet(count=2, relay_options=None, **options):
+    relay_options = relay_options or {}
     store = MemoryStore()
     store.put_directly("config", "main", configuration(**options))
     async with Group("orders") as group:
         group.register(store)
-        vms = [Vm(f"vm{number}", store, group) for number in range(count)]
+        vms = [
+            Vm(f"vm{number}", store, group, **relay_options) for number in range(count)
+        ]
         await asyncio.gather(*(vm.start() for vm in vms))
         await eventually(lambda: all(primary(vm) for vm in vms), 20.0)
         try:
