--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -15,6 +15,7 @@
 from citronwood.metrics import Metrics
 from citronwood.platform.api import Listing, ObjectStore
 from citronwood.relay.absence import PrimaryAbsences
+from citronwood.relay.balance import ReadBalance
 from citronwood.relay.clock import now
 from citronwood.relay.failover import Failover
 from citronwood.relay.feeds import Feed
@@ -135,20 +136,26 @@
         servers = Feed(kinds.servers, kinds.decode_servers, self._apply_servers)
         self._view = PrimaryView()
         self._commits = NewestCommits()
+        balance = ReadBalance(metrics) if options.balances_reads else None
         self._servers = Servers(
             connect,
             options.failure_domain,
             self._commits.note,
-            options.schedules_statements,
-            metrics,
-            lambda server: self._view.primary_of(server.group) == server.id,
+            schedules_statements=options.schedules_statements,
+            metrics=metrics,
+            is_primary=lambda server: self._view.primary_of(server.group) == server.id,
+            balance=balance,
         )
         self._servers_known = False
         self._missing_since: dict[str, float] = {}
         self._listed: dict[str, BackendServer] = {}
         self._owners = Owners(options.name)
         self._forwarding = Forwarding(
-            options.name, self._owners, lambda: self._rules, self._is_forwarding_useful
+            options.name,
+            self._owners,
+            lambda: self._rules,
+            self._is_forwarding_useful,
+            None if balance is None else balance.note_load,
         )
         self._probes = Probes(
             self._servers, connect, self._view, self._forwarding.ask_position
--- a/tests/test_relay_admission.py
+++ b/tests/test_relay_admission.py
@@ -453,7 +453,7 @@
 def test_stopping_owner_answers_waiting_requests_of_other_vms():
     # Guards against permits and connections that a stopping owner keeps.
     async def scenario(pool, server):
-        servers = SimpleNamespace(get=lambda _: pool)
+        servers = SimpleNamespace(get=lambda _: pool, balance=None)
         view = SimpleNamespace(primary_of=lambda _: "s1")
         leases = Leases(servers, view, None, lambda: None)
         held = await fill(pool)
