--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -438,7 +438,8 @@
         if self._servers.get(message.server) is None:
             return ReachableAnswer(None)
         probe = await self._probes.status(message.server, deadline_in(STATUS_TIMEOUT_S))
-        return ReachableAnswer(probe is not None)
+        answered = self._probes.answered_within(message.server, STATUS_TIMEOUT_S)
+        return ReachableAnswer(probe is not None or answered)
 
     def _on_state(self, message: StateChanged, _: Caller) -> None:
         try:
--- a/citronwood/relay/probes.py
+++ b/citronwood/relay/probes.py
@@ -7,7 +7,11 @@
 
 from citronwood.deadline import deadline_in
 from citronwood.decisions import log_state
-from citronwood.errors import BackendUnavailableError, ConnectionLostError
+from citronwood.errors import (
+    BackendUnavailableError,
+    ConnectionLostError,
+    ServerFullError,
+)
 from citronwood.relay.clock import now
 from citronwood.relay.model import BackendServer, Position
 from citronwood.relay.positions import GroupPositions, Observation
@@ -24,6 +28,9 @@
 # Probe connections that were idle for longer are closed: a server has fewer connections
 # than a large fleet has VMs.
 IDLE_TIMEOUT_S = 3.0
+# A server refuses connections while those of VMs that have lost power hold its places,
+# which it drops after 3 s. A server that refuses them for longer counts as silent.
+MAX_FULL_S = 4.0
 
 
 class Probe(NamedTuple):
@@ -59,6 +66,8 @@
         self._positions: dict[str, GroupPositions] = {}
         self._refreshing: dict[str, asyncio.Task[None]] = {}
         self._answered_at: dict[str, float] = {}
+        # Servers that have refused each connection since that time.
+        self._full_since: dict[str, float] = {}
         self._requested_at: dict[str, float] = {}
 
     def positions(self, group: str) -> GroupPositions:
@@ -150,6 +159,8 @@
                 else:
                     status = await connection.step_down(step_down_term, deadline)
             except (BackendUnavailableError, ConnectionLostError) as error:
+                if isinstance(error, ServerFullError):
+                    self._note_full(server)
                 log_state(
                     log,
                     "probe",
@@ -158,9 +169,17 @@
                 )
                 self._connections.pop(server, None)
                 return None
+        self._full_since.pop(server, None)
         self._answered_at[server] = now()
         return None if status is None else Probe(asked_at, status)
 
+    def _note_full(self, server: str) -> None:
+        """Count a refusal for lack of a connection as an answer, for a while."""
+        time = now()
+        since = self._full_since.setdefault(server, time)
+        if time <= since + MAX_FULL_S:
+            self._answered_at[server] = time
+
     async def _connection(
         self, server: str, deadline: float
     ) -> ServerConnection | None:
