--- a/tests/test_relay_balance.py
+++ b/tests/test_relay_balance.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from citronwood.errors import ConnectionLostError
 from citronwood.metrics import Metrics
 from citronwood.relay import balance as balance_module
 from citronwood.relay.balance import (
@@ -19,9 +20,12 @@
     ReadAttempts,
     ReadBalance,
     Result,
+    judge,
+    judge_loss,
 )
 from citronwood.relay.messages import OpenLease
 from citronwood.relay.server_load import ServerLoad
+from citronwood.relay.statement import Answer, Failure, Reason
 from tests import balance_model
 from tests.relay_standins import Caller
 from tests.test_relay_forwarding import run
@@ -71,15 +75,37 @@
 
 
 def test_report_that_is_too_old_is_ignored():
-    knowledge = Knowledge(near=FULL, far=IDLE, p=IDLE)
-    knowledge.time += MAX_REPORT_AGE_S
-    assert knowledge.servers() == {"near"}
+    knowledge, replicas = Knowledge(near=FULL, far=FULL), (NEAR, FAR)
+    knowledge.time += MAX_REPORT_AGE_S - 0.01
+    assert knowledge.choose(replicas).max_wait_s > FIRST_MAX_WAIT_S
+    knowledge.time += 0.01
+    assert knowledge.choose(replicas).max_wait_s == FIRST_MAX_WAIT_S
+
+
+def test_own_reads_since_the_last_report_count():
+    # Guards against a burst that one VM sends to the server of its last report.
+    knowledge = Knowledge(near=IDLE, far=IDLE)
+    knowledge.time += 0.01
+    for _ in range(6):
+        ReadAttempts(knowledge.balance).start(NEAR)
+    assert knowledge.choose().server != "near"
+
+
+def test_faults_of_callers_and_lagging_replicas_are_no_failures_of_servers():
+    faults = {
+        reason
+        for reason in Reason
+        if judge(Answer(failure=Failure(reason, ""))) is Result.FAILED
+    }
+    assert faults == {Reason.TIMED_OUT, Reason.OVERLOADED}
+    assert judge_loss(ConnectionLostError("", sent=False)) is Result.UNKNOWN
 
 
 @pytest.mark.parametrize(
     "load",
     [
         FULL._replace(mean_ms=math.nan),
+        FULL._replace(mean_ms=math.inf),
         FULL._replace(mean_ms=-1.0),
         FULL._replace(slots=0),
         FULL._replace(running=-5),
