--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -50,6 +50,7 @@
 )
 from citronwood.relay.reports import Reports, has_ended
 from citronwood.relay.routing import SessionContext
+from citronwood.relay.server_list import ServerList
 from citronwood.relay.servers import Servers
 from citronwood.relay.session import Session
 from citronwood.relay.state_records import decode_state, encode_group, encode_state
@@ -71,9 +72,6 @@
 # Assumed while the number of VMs is unknown; high, so that this VM's share is small.
 ASSUMED_VM_COUNT = 100
 MAINTENANCE_INTERVAL_S = 0.4
-# A server missing from the list is dropped after this time. Entries that expired during
-# an outage of the store are back within two seconds after the outage.
-MISSING_SERVER_GRACE_S = 2.5
 # Statements that run at an old primary get this time before its connections are closed.
 FENCE_DRAIN_TIMEOUT_S = 0.25
 
@@ -136,9 +134,7 @@
         self._view = PrimaryView()
         self._commits = NewestCommits()
         self._servers = Servers(connect, options.failure_domain, self._commits.note)
-        self._servers_known = False
-        self._missing_since: dict[str, float] = {}
-        self._listed: dict[str, BackendServer] = {}
+        self._server_list = ServerList(self._servers)
         self._owners = Owners(options.name)
         self._forwarding = Forwarding(
             options.name, self._owners, lambda: self._rules, self._is_forwarding_useful
@@ -224,7 +220,7 @@
         """Whether this VM can serve callers."""
         return (
             self._rules is not None
-            and self._servers_known
+            and self._server_list.is_known
             and self._registry.is_registered
             and self._view.state is not None
         )
@@ -567,32 +563,9 @@
         self._divide_connections()
 
     def _apply_servers(self, servers: list[BackendServer]) -> None:
-        listed = {entry.id: entry for entry in servers}
-        time_now = now()
-        for server in self._listed:
-            if server not in listed:
-                self._missing_since.setdefault(server, time_now)
-        for server in listed:
-            self._missing_since.pop(server, None)
-        self._listed = {**self._listed, **listed}
-        self._servers_known = True
-        self._drop_missing()
+        self._server_list.update(servers)
         self._update_readiness()
 
-    def _drop_missing(self) -> None:
-        cutoff = now() - MISSING_SERVER_GRACE_S
-        for server, since in list(self._missing_since.items()):
-            if since <= cutoff:
-                del self._missing_since[server]
-                self._listed.pop(server, None)
-                log_state(
-                    log,
-                    "server",
-                    "gone",
-                    f"gateway: dropped server {server}, missing from the list",
-                )
-        self._servers.replace(self._listed.values())
-
     def _use_secret_of_fleet(self) -> None:
         """Use the fleet's secret, which changes if a restored store has no state."""
         state = self._view.state
@@ -602,7 +575,7 @@
     async def _run_maintenance(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
-            self._drop_missing()
+            self._server_list.drop_missing()
             self._servers.maintain()
             self._probes.close_idle()
             self._leases.end_unused()
