--- a/citronwood/platform/process.py
+++ b/citronwood/platform/process.py
@@ -25,8 +25,10 @@
 from citronwood.platform.objects import HttpObjectStore
 from citronwood.platform.promotion import HttpPromotion
 from citronwood.platform.records import (
+    EVACUATIONS_KIND,
     RULES_KIND,
     SERVERS_KIND,
+    decode_evacuations,
     decode_rules,
     decode_servers,
 )
@@ -45,7 +47,14 @@
 # are balanced by load.
 PRIORITY_CONTRACT = "pressure"
 BALANCE_CONTRACT = "pool"
-FEED_KINDS = FeedKinds(RULES_KIND, decode_rules, SERVERS_KIND, decode_servers)
+FEED_KINDS = FeedKinds(
+    RULES_KIND,
+    decode_rules,
+    SERVERS_KIND,
+    decode_servers,
+    EVACUATIONS_KIND,
+    decode_evacuations,
+)
 
 
 def settings_path() -> Path:
--- a/citronwood/platform/records.py
+++ b/citronwood/platform/records.py
@@ -2,7 +2,7 @@
 
 Terms of the platform: a tenant is a client account, a zone a failure domain, a service
 a database group, a route's ``host`` the database name, an entry of ``servers`` a
-backend server.
+backend server, an object of ``evacuations`` an evacuated failure domain.
 """
 
 import logging
@@ -28,6 +28,7 @@
 RULES_KIND = "config"
 RULES_NAME = "main"
 SERVERS_KIND = "servers"
+EVACUATIONS_KIND = "evacuations"
 
 # Defaults for omitted limits, taken from the platform's examples.
 DEFAULT_STATEMENT_TIMEOUT_MS = 1000
@@ -138,6 +139,14 @@
     return servers
 
 
+def decode_evacuations(listing: Listing) -> frozenset[str]:
+    """Return the evacuated failure domains, by which the objects are named.
+
+    The content of an object does not matter, not even if it is malformed.
+    """
+    return frozenset(listing.objects)
+
+
 def _decode_server(server_id: str, value: dict[str, Any]) -> BackendServer | None:
     try:
         if re.match(_NAME_PATTERN, server_id) is None:
--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -22,6 +22,7 @@
 )
 from citronwood.inner.rpc import Rpc
 from citronwood.relay.clock import now
+from citronwood.relay.evacuations import NO_EVACUATIONS, Evacuations
 from citronwood.relay.fencing import FencedVm, Fencing
 from citronwood.relay.holder_records import HolderRecords
 from citronwood.relay.holders import Report, is_log_kept, new_holders
@@ -55,6 +56,7 @@
 # Time after which no promotion takes effect any more that an earlier leader asked for
 # before its lease ended. A promotion takes some hundred ms.
 LATE_PROMOTION_S = 1.5
+EVACUATIONS_POLL_S = 0.05
 
 
 class _Observation(NamedTuple):
@@ -82,6 +84,7 @@
         succession: Succession,
         groups: Callable[[], frozenset[str]],
         sync_replicas: Callable[[str], int],
+        evacuations: Evacuations = NO_EVACUATIONS,
     ) -> None:
         self._name = name
         self._leadership = leadership
@@ -94,12 +97,14 @@
         self._succession = succession
         self._groups = groups
         self._sync_replicas = sync_replicas
+        self._evacuations = evacuations
         self._records = HolderRecords(leadership, view, probes)
         self._search = PrimarySearch(view, succession)
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._last_status_at: dict[str, float] = {}
         self._observations: dict[str, _Observation] = {}
         self._was_leader = False
+        self._leading_since = 0.0
         self._stopping = False
 
     @property
@@ -120,6 +125,7 @@
                 if not self._was_leader:
                     self._last_status_at.clear()
                     self._observations.clear()
+                    self._leading_since = now()
                 self._was_leader = True
                 for group in self._groups():
                     task = self._tasks.get(group)
@@ -209,7 +215,7 @@
         await self._write_group(group, unknown)
 
     async def _check_primary(self, group: str, current: GroupState) -> None:
-        """Replace a primary that is silent, draining or no longer primary."""
+        """Replace a primary that is silent, draining, evacuated or no primary now."""
         reason = await self._reason_to_replace(group, current)
         if reason is None or not self._servers.others_of_group(group, current.primary):
             return
@@ -252,10 +258,9 @@
                 self._records.note_primary(report, listed)
         elif not self._probes.answered_within(current.primary, RECENT_ANSWER_S):
             return await self._reason_of_silence(group, current.primary)
-        # Servers that have begun to drain earlier will leave earlier and are no better.
-        is_draining = self._servers.is_draining(current.primary)
-        if is_draining and await self._succession.has_lasting(group, current.primary):
-            return "it is draining"
+        reason = await self._succession.reason_to_leave(group, current.primary)
+        if reason is not None:
+            return reason
         if probe is not None and self._view.primary_of(group) == current.primary:
             self._probes.record_position(group, probe)
         if current.holders and not self._sync_replicas(group):
@@ -329,6 +334,7 @@
                 current = await self._search.find_newest(group, current, fenced)
                 former_primaries.add(current.primary)
             current = await self._note_newest_commit(group, current, written_at, fenced)
+            await self._wait_for_evacuations()
             new = await self._succession.promote_lasting(group, current)
         await self._write_group(group, new)
         log_state(
@@ -346,6 +352,13 @@
         for server in former_primaries - {new.primary, ""}:
             self._succession.step_down_later(server, new.term)
 
+    async def _wait_for_evacuations(self) -> None:
+        """Wait until this VM knows the evacuations that its predecessor knew."""
+        while not self._evacuations.is_known_since(self._leading_since):
+            if not self._leadership.is_leader:
+                raise NotLeaderError("lost leadership before the evacuations were read")
+            await asyncio.sleep(EVACUATIONS_POLL_S)
+
     async def _note_newest_commit(
         self,
         group: str,
--- a/citronwood/relay/follower.py
+++ b/citronwood/relay/follower.py
@@ -18,6 +18,7 @@
 from citronwood.inner.rpc import Caller, Rpc
 from citronwood.platform.api import ObjectStore
 from citronwood.relay.clock import now
+from citronwood.relay.evacuations import StoreContact
 from citronwood.relay.feeds import Feed
 from citronwood.relay.messages import AskFeed, FeedAnswer
 
@@ -76,6 +77,9 @@
         self._is_leader = is_leader
         self._scale_interval = scale_interval
         self._source = _Source("", {}, -1e9)
+        # By kind: the latest time at which this VM's copy was that of the source.
+        self._confirmed_at: dict[str, float] = {}
+        self._contact = StoreContact()
         self._holders: dict[str, _Holders] = {}
         self._behind = asyncio.Event()
         self._rpc: Rpc | None = None
@@ -91,7 +95,13 @@
         polled_at = min(
             feed.polled_at for feed in self._feeds.values() if feed.read_by_all
         )
-        if any(feed.read_by_all for feed in self._outdated()):
+        # The source may be a VM of a previous version, which does not read all kinds.
+        is_confirmed = all(
+            kind in self._source.versions
+            for kind, feed in self._feeds.items()
+            if feed.read_by_all
+        )
+        if not is_confirmed or any(feed.read_by_all for feed in self._outdated()):
             return polled_at
         return max(polled_at, self._source.polled_at)
 
@@ -100,6 +110,21 @@
         """Whether no VM in contact with this one has read the store lately."""
         return now() > self._source.polled_at + SOURCE_STALE_S
 
+    @property
+    def is_contact_lost(self) -> bool:
+        """Whether the store and the VMs that read it are known to be out of reach."""
+        return self._contact.is_lost
+
+    def known_at(self, kind: str) -> float:
+        """Return the latest time at which a feed is known to have matched the store."""
+        return max(self._feeds[kind].polled_at, self._confirmed_at.get(kind, -1e9))
+
+    def _confirm(self) -> None:
+        """Record which feeds match what the source found in the store."""
+        for kind, feed in self._feeds.items():
+            if 0 < self._source.versions.get(kind, 0) <= feed.version:
+                self._confirmed_at[kind] = self._source.polled_at
+
     def _outdated(self) -> list[Feed[Any]]:
         """Return the feeds of which another VM has a newer version."""
         versions = self._source.versions
@@ -118,6 +143,9 @@
         """Record the versions that another VM found in the store at ``polled_at``."""
         if polled_at > self._source.polled_at:
             self._source = _Source(url, versions, polled_at)
+            if not self.is_source_stale:
+                self._contact.note_heard()
+            self._confirm()
             if self._outdated():
                 self._behind.set()
 
@@ -131,6 +159,8 @@
                 for feed in self._feeds.values():
                     if feed.read_by_all or self._is_leader():
                         await self._poll(feed)
+            else:
+                await self._poll_unknown_to_source()
             try:
                 async with timeout_at(
                     deadline_in(POLL_INTERVAL_S * random.uniform(0.9, 1.0))
@@ -147,6 +177,15 @@
             await self._fetch_from(source.url, feed)
             if feed.version < source.versions[feed.kind] and feed.read_by_all:
                 await self._poll(feed)
+        self._confirm()
+
+    async def _poll_unknown_to_source(self) -> None:
+        """Read the kinds that the VMs of a previous version do not read."""
+        versions = self._source.versions
+        for kind, feed in self._feeds.items():
+            is_due = now() >= feed.polled_at + self._scale_interval(POLL_INTERVAL_S)
+            if versions and kind not in versions and feed.read_by_all and is_due:
+                await self._poll(feed)
 
     def _is_poll_due(self, polled_at: float) -> bool:
         if self._is_leader():
@@ -157,9 +196,13 @@
         return scaled_s <= POLL_INTERVAL_S or now() >= polled_at + scaled_s
 
     async def _poll(self, feed: Feed[Any]) -> None:
+        asked_at = now()
         try:
             await feed.poll(self._store, deadline_in(STORE_CALL_TIMEOUT_S))
+            self._contact.note_heard()
         except PlatformError as error:
+            if self.is_source_stale:
+                self._contact.note_failed(asked_at)
             log_state(log, "feed", "failed", f"platform: {error}")
 
     async def _fetch_from(self, url: str, feed: Feed[Any]) -> None:
--- a/citronwood/relay/forwarding.py
+++ b/citronwood/relay/forwarding.py
@@ -15,6 +15,7 @@
 from citronwood.deadline import deadline_in, has_passed
 from citronwood.decisions import log_state
 from citronwood.errors import (
+    BackendUnavailableError,
     CallFailedError,
     ConnectionLostError,
     DeadlineExceededError,
@@ -312,6 +313,9 @@
         if outcome == LeaseOutcome.LEAVING:
             self._health.note_leaving(url)
             return None
+        if outcome == LeaseOutcome.UNUSABLE and answer.evacuated:
+            # Also a connection of this VM, which does not know it yet, may not be used.
+            raise BackendUnavailableError(answer.detail)
         if outcome == LeaseOutcome.UNUSABLE:
             self._health.note_refused(url, server.id)
             return None
--- a/citronwood/relay/leases.py
+++ b/citronwood/relay/leases.py
@@ -25,6 +25,7 @@
 )
 from citronwood.inner.rpc import Caller, Rpc
 from citronwood.relay.clock import now
+from citronwood.relay.evacuations import NO_EVACUATIONS, Evacuations
 from citronwood.relay.messages import (
     AskPosition,
     EndLease,
@@ -110,11 +111,13 @@
         view: PrimaryView,
         positions: PositionReader,
         rules: Callable[[], Rules | None],
+        evacuations: Evacuations = NO_EVACUATIONS,
     ) -> None:
         self._servers = servers
         self._view = view
         self._positions = positions
         self._rules = rules
+        self._evacuations = evacuations
         self._leases: dict[_LeaseKey, _Lease] = {}
         self._stopping = False
         self._opening_count = 0
@@ -265,6 +268,14 @@
             del self._leases[key]
             connection.discard()
             return ForwardedAnswer(LeaseOutcome.LOST, "the primary was replaced")
+        pool = self._servers.get(connection.server)
+        reason = None
+        if pool is not None:
+            reason = self._evacuations.reason_to_abort(pool.server)
+        if reason is not None:
+            del self._leases[key]
+            connection.discard()
+            return ForwardedAnswer(LeaseOutcome.LOST, reason)
         lease.is_running = True
         try:
             if message.statement is None:
@@ -336,6 +347,13 @@
         pool = self._servers.get(message.server)
         if pool is None or pool.server.group != message.group:
             return ForwardedAnswer(LeaseOutcome.UNUSABLE, "unknown server")
+        reason = self._evacuations.reason_to_refuse(pool.server)
+        if reason is not None:
+            if pool.server.evacuated:
+                self._evacuations.count_refused(forwarded=True)
+            return ForwardedAnswer(
+                LeaseOutcome.UNUSABLE, reason, evacuated=pool.server.evacuated
+            )
         if message.max_age_ms is None and not self._is_primary(
             message.group, message.server
         ):
--- a/citronwood/relay/messages.py
+++ b/citronwood/relay/messages.py
@@ -220,7 +220,7 @@
     ``outcome`` is a value of ``citronwood.relay.leases.LeaseOutcome`` and ``detail``
     describes it. ``excess_ms`` is as in ``OverloadedError``. The other fields are those
     of ``citronwood.relay.statement.Answer``. ``load`` is the load of the server at its
-    owner after the request.
+    owner after the request. With ``evacuated``, no VM may use the server.
     """
 
     outcome: str
@@ -233,6 +233,7 @@
     state: str = ""
     position: tuple[int, int] | None = None
     load: ServerLoad | None = None
+    evacuated: bool = False
 
 
 class AskPosition(NamedTuple):
--- a/citronwood/relay/model.py
+++ b/citronwood/relay/model.py
@@ -66,7 +66,8 @@
     """Backend server as described by its own entry in the store.
 
     ``started_at`` distinguishes a restarted server from the earlier process with the
-    same id.
+    same id. ``evacuated`` is set while this VM knows that the server's failure domain
+    is evacuated; ``draining`` then is set as well.
     """
 
     id: str
@@ -78,6 +79,7 @@
     draining: bool
     slots: int
     started_at: int
+    evacuated: bool = False
 
 
 class Position(NamedTuple):
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -4,7 +4,7 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from citronwood.deadline import deadline_in, timeout_at
 from citronwood.decisions import log_state
@@ -16,6 +16,7 @@
 from citronwood.platform.api import Listing, ObjectStore
 from citronwood.relay.absence import PrimaryAbsences
 from citronwood.relay.clock import now
+from citronwood.relay.evacuations import Evacuations
 from citronwood.relay.failover import Failover
 from citronwood.relay.feeds import Feed
 from citronwood.relay.fencing import Fencing
@@ -108,6 +109,8 @@
     decode_rules: Callable[[Listing], Rules | None]
     servers: str
     decode_servers: Callable[[Listing], list[BackendServer]]
+    evacuations: str
+    decode_evacuations: Callable[[Listing], frozenset[str]]
 
 
 class RelayNode:
@@ -134,7 +137,13 @@
         self._view = PrimaryView()
         self._commits = NewestCommits()
         self._servers = Servers(connect, options.failure_domain, self._commits.note)
-        self._server_list = ServerList(self._servers)
+        self._evacuations = Evacuations(
+            options.evacuation_s,
+            metrics,
+            lambda: self._feeds.known_at(kinds.evacuations),
+            lambda: self._feeds.is_contact_lost,
+        )
+        self._server_list = ServerList(self._servers, self._evacuations)
         self._owners = Owners(options.name)
         self._forwarding = Forwarding(
             options.name, self._owners, lambda: self._rules, self._is_forwarding_useful
@@ -143,7 +152,11 @@
             self._servers, connect, self._view, self._forwarding.ask_position
         )
         self._leases = Leases(
-            self._servers, self._view, self._probes, lambda: self._rules
+            self._servers,
+            self._view,
+            self._probes,
+            lambda: self._rules,
+            self._evacuations,
         )
         self._leadership = Leadership(
             store,
@@ -158,8 +171,15 @@
         )
         peers = Feed(VM_KIND, decode_peers, self._apply_peers, read_by_all=False)
         self._peers: tuple[Peer, ...] = ()
+        feeds: list[Feed[Any]] = [rules, servers, peers]
+        if options.evacuation_s is not None:
+            feeds.append(
+                Feed(
+                    kinds.evacuations, kinds.decode_evacuations, self._apply_evacuations
+                )
+            )
         self._feeds = FeedFollower(
-            (rules, servers, peers),
+            feeds,
             store,
             lambda: self._leadership.is_leader,
             self._scale_interval,
@@ -203,6 +223,7 @@
             self._limiter,
             self._forwarding,
             PrimaryAbsences(),
+            self._evacuations,
         )
 
     @property
@@ -221,6 +242,7 @@
         return (
             self._rules is not None
             and self._server_list.is_known
+            and self._evacuations.is_read
             and self._registry.is_registered
             and self._view.state is not None
         )
@@ -336,6 +358,7 @@
             ),
             self._groups,
             self._sync_replicas,
+            self._evacuations,
         )
         self._start_loop("the failover", self._failover.run)
 
@@ -566,6 +589,11 @@
         self._server_list.update(servers)
         self._update_readiness()
 
+    def _apply_evacuations(self, domains: frozenset[str]) -> None:
+        self._evacuations.update(domains)
+        self._server_list.apply()
+        self._update_readiness()
+
     def _use_secret_of_fleet(self) -> None:
         """Use the fleet's secret, which changes if a restored store has no state."""
         state = self._view.state
@@ -576,6 +604,7 @@
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self._server_list.drop_missing()
+            self._server_list.abort_evacuated()
             self._servers.maintain()
             self._probes.close_idle()
             self._leases.end_unused()
--- a/citronwood/relay/routing.py
+++ b/citronwood/relay/routing.py
@@ -18,6 +18,7 @@
 )
 from citronwood.relay.absence import PrimaryAbsences
 from citronwood.relay.clock import now
+from citronwood.relay.evacuations import LIST_TOO_OLD, NO_EVACUATIONS, Evacuations
 from citronwood.relay.model import (
     Account,
     BackendServer,
@@ -127,6 +128,7 @@
     admission: Admission
     forwarding: Forwarding
     absences: PrimaryAbsences
+    evacuations: Evacuations = NO_EVACUATIONS
 
 
 async def find_floor(
@@ -254,6 +256,11 @@
                 in_transaction=bool(use.begin),
                 urgency=use.urgency,
             )
+            # The list may have changed or become too old during the wait.
+            reason = self._context.evacuations.reason_to_refuse(pool.server)
+            if reason is not None:
+                connection.release()
+                raise BackendUnavailableError(reason)
             connection.floor = floor
             return connection
         except OverloadedError as error:
@@ -272,6 +279,7 @@
         try:
             async with timeout_at(deadline):
                 while True:
+                    await self._check_evacuations(route.group, deadline)
                     primary = view.primary_of(route.group)
                     pool = self._context.servers.get(primary) if primary else None
                     if pool is not None:
@@ -287,6 +295,24 @@
         text = retry_message("the group has no primary", retry_s)
         raise refusal(Reason.OVERLOADED, text)
 
+    async def _check_evacuations(self, group: str, deadline: float) -> None:
+        """Refuse a statement if its group's primary is in an evacuated domain.
+
+        Waits first while the list of evacuations is too old.
+        """
+        evacuations = self._context.evacuations
+        while not evacuations.is_current:
+            await self.wait_before_retry(deadline, LIST_TOO_OLD)
+        primary = self._context.view.named_primary(group)
+        if primary is None or not self._context.servers.is_evacuated(primary):
+            return
+        servers = self._context.servers.of_group(group)
+        domain = next(s.failure_domain for s in servers if s.id == primary)
+        evacuations.count_refused()
+        text = f"not run: failure domain {domain} of the primary is evacuated"
+        text = retry_message(text, evacuations.retry_s(servers))
+        raise refusal(Reason.OVERLOADED, text)
+
     async def choose_reader(
         self,
         route: Route,
--- a/citronwood/relay/server_list.py
+++ b/citronwood/relay/server_list.py
@@ -5,6 +5,7 @@
 
 from citronwood.decisions import log_state
 from citronwood.relay.clock import now
+from citronwood.relay.evacuations import Evacuations
 from citronwood.relay.model import BackendServer
 from citronwood.relay.servers import Servers
 
@@ -16,10 +17,11 @@
 
 
 class ServerList:
-    """Applies the list of servers to the connection pools."""
+    """Applies the list of servers and the evacuations to the connection pools."""
 
-    def __init__(self, servers: Servers) -> None:
+    def __init__(self, servers: Servers, evacuations: Evacuations) -> None:
         self._servers = servers
+        self._evacuations = evacuations
         self._listed: dict[str, BackendServer] = {}
         self._missing_since: dict[str, float] = {}
         self._is_known = False
@@ -55,4 +57,20 @@
                     "gone",
                     f"gateway: dropped server {server}, missing from the list",
                 )
-        self._servers.replace(self._listed.values())
+        self.apply()
+
+    def apply(self) -> None:
+        """Apply the known list with the evacuations that are in force now."""
+        self._servers.replace(map(self._evacuations.mark, self._listed.values()))
+
+    def abort_evacuated(self) -> None:
+        """Abort the transactions in evacuated failure domains whose time has passed."""
+        aborted = self._servers.abort(self._evacuations.has_to_abort)
+        if aborted:
+            log_state(
+                log,
+                "evacuation",
+                "aborted",
+                f"gateway: closed {aborted} connections to evacuated servers",
+                connections=aborted,
+            )
--- a/citronwood/relay/servers.py
+++ b/citronwood/relay/servers.py
@@ -74,6 +74,23 @@
         pool = self._pools.get(server)
         return pool is not None and pool.server.draining
 
+    def is_evacuated(self, server: str) -> bool:
+        """Whether a known server is in an evacuated failure domain."""
+        pool = self._pools.get(server)
+        return pool is not None and pool.server.evacuated
+
+    def abort(self, has_to_abort: Callable[[BackendServer], bool]) -> int:
+        """Close all connections to some servers; return how many were in use."""
+        pools = [
+            pool
+            for pool in [*self._pools.values(), *self._retired]
+            if has_to_abort(pool.server)
+        ]
+        in_use = sum(pool.load for pool in pools)
+        for pool in pools:
+            pool.abort_all()
+        return in_use
+
     def replace(self, servers: Iterable[BackendServer]) -> None:
         """Apply the platform's newest list of servers."""
         listed = {entry.id: entry for entry in servers}
--- a/citronwood/relay/session.py
+++ b/citronwood/relay/session.py
@@ -365,6 +365,9 @@
         connection, pool = transaction.connection, transaction.pool
         assert connection is not None
         assert pool is not None
+        reason = self._context.evacuations.reason_to_abort(pool.server)
+        if reason is not None:
+            raise refusal(Reason.ABORTED, f"rolled back: {reason}")
         if not connection.is_open or not self._may_continue(transaction, pool):
             raise refusal(Reason.ABORTED, "the transaction's connection was lost")
         is_commit = statement.verb is Verb.COMMIT
--- a/citronwood/relay/succession.py
+++ b/citronwood/relay/succession.py
@@ -140,19 +140,35 @@
         finally:
             self._note_awaited(group, [])
 
-    async def has_lasting(self, group: str, primary: str) -> bool:
-        """Whether a server other than the primary answers and is not about to leave."""
+    async def reason_to_leave(self, group: str, primary: str) -> str | None:
+        """Return why another server has to become the primary; None if it may stay.
+
+        A primary in an evacuated domain is worse than any server elsewhere, and a
+        draining one is worse than one that lasts. Servers that have begun to drain
+        earlier will leave earlier and are no better.
+        """
+        if not self._servers.is_draining(primary):
+            return None
         others = self._servers.others_of_group(group, primary)
+        if self._servers.is_evacuated(primary):
+            outside = [other.id for other in others if not other.evacuated]
+            if await self._has_answering(outside):
+                return "its failure domain is evacuated"
+            return None
         lasting = [other.id for other in others if not other.draining]
+        return "it is draining" if await self._has_answering(lasting) else None
+
+    async def _has_answering(self, servers: list[str]) -> bool:
+        """Whether one of the servers answers."""
         await asyncio.gather(
             *(
                 self._probes.status(server, deadline_in(STATUS_TIMEOUT_S))
-                for server in lasting
+                for server in servers
             )
         )
         # A server without a free slot answers, but reports no status.
         return any(
-            self._probes.answered_within(server, RECENT_ANSWER_S) for server in lasting
+            self._probes.answered_within(server, RECENT_ANSWER_S) for server in servers
         )
 
     async def newest_term(self, group: str, change: GroupState) -> NewestTerm:
@@ -181,15 +197,15 @@
         promoted = await self._promote_once(group, change, replaced)
         for _ in range(MAX_PROMOTIONS - 1):
             primary, term = promoted.server.id, promoted.probe.status.term
-            is_draining = self._servers.is_draining(primary)
-            if not is_draining or not await self.has_lasting(group, primary):
+            reason = await self.reason_to_leave(group, primary)
+            if reason is None:
                 break
             log_state(
                 log,
                 "primary_change",
                 "continued",
                 f"group: {group}: {primary} leads until its successor has its log, "
-                "because it is draining",
+                f"because {reason}",
                 group=group,
                 term=term,
             )
@@ -288,6 +304,7 @@
                 Candidate(answer.server, answer.report.received)
                 for answer in probed
                 if answer.server.id not in rejected
+                and not answer.server.evacuated
                 and (answer.server.id != replaced.primary or not is_excluded)
             )
             evidence = self._evidence(group, change, old_position, probed)
@@ -311,6 +328,8 @@
                 if not is_safe:
                     # A server that was rejected may be the only one that has them.
                     rejected.clear()
+            elif probed and all(answer.server.evacuated for answer in probed):
+                self._log_evacuated(group)
             elif rejected:
                 rejected.clear()
                 await asyncio.sleep(RETRY_INTERVAL_S)
@@ -385,6 +404,19 @@
             awaited=servers,
         )
 
+    def _log_evacuated(self, group: str) -> None:
+        """Log that a change waits for a server outside of the evacuated domains."""
+        if now() < self._wait_logged_at.get(group, -1e9) + WAIT_LOG_INTERVAL_S:
+            return
+        self._wait_logged_at[group] = now()
+        log_state(
+            log,
+            "primary_change",
+            "waiting",
+            f"group: {group}: all servers that answer are in evacuated domains",
+            group=group,
+        )
+
     async def _step_down_old_primary(self, current: GroupState) -> Position | None:
         """Make the old primary step down; return its log position if it answers.
 
--- a/tests/relay_standins.py
+++ b/tests/relay_standins.py
@@ -302,13 +302,14 @@
 class Group:
     """Group of backend servers that share one log, without replication delay."""
 
-    def __init__(self, name, size=3):
+    def __init__(self, name, size=3, zones=("z1",)):
         self.name = name
         self.term = 1
         # Number of the last write in the log.
         self.number = 0
         self.servers = [
-            TextProtocolServer(self, f"{name}-{index}") for index in range(size)
+            TextProtocolServer(self, f"{name}-{index}", zones[index % len(zones)])
+            for index in range(size)
         ]
         self.servers[0].is_primary = True
         self.data = {}
@@ -357,9 +358,10 @@
 class TextProtocolServer:
     """Backend server that speaks the platform's text protocol."""
 
-    def __init__(self, group, server_id):
+    def __init__(self, group, server_id, zone="z1"):
         self.group = group
         self.id = server_id
+        self.zone = zone
         self.is_primary = False
         self.running = False
         self.is_behind = False
@@ -424,7 +426,7 @@
         return {
             "service": self.group.name,
             "address": f"127.0.0.1:{self.port}",
-            "zone": "z1",
+            "zone": self.zone,
             "state": "draining" if self.is_draining else "ready",
             "slots": 5,
             "db_role": "primary" if self.is_primary else "replica",
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -12,18 +12,13 @@
 from citronwood.operator.diagnosis import diagnose_request, parse_decision_lines
 from citronwood.platform.callers import CallerListener
 from citronwood.platform.nodefile import Address
-from citronwood.platform.records import (
-    RULES_KIND,
-    SERVERS_KIND,
-    decode_rules,
-    decode_servers,
-)
+from citronwood.platform.process import FEED_KINDS
 from citronwood.platform.wire import connect
 from citronwood.relay import node as node_module
 from citronwood.relay import registry as registry_module
 from citronwood.relay.clock import now
 from citronwood.relay.messages import FenceGroup, ReportToLeader
-from citronwood.relay.node import FeedKinds, RelayNode, RelayOptions
+from citronwood.relay.node import RelayNode, RelayOptions
 from citronwood.relay.statement import Reason, Statement, TransactionState, Verb
 from citronwood.relay.view import LEASE_S, FleetState
 from tests.fleet_helpers import eventually
@@ -37,14 +32,15 @@
 )
 
 LEADER = Sender("leader", 1, "tcp://leader", 0.0)
-FEED_KINDS = FeedKinds(RULES_KIND, decode_rules, SERVERS_KIND, decode_servers)
 
 
 class Vm:
-    def __init__(self, name, store, group):
+    def __init__(self, name, store, group, evacuation_s=None):
         self.port = reserve_port()
         self.node = RelayNode(
-            RelayOptions(name, "z1", "127.0.0.1", reserve_port()),
+            RelayOptions(
+                name, "z1", "127.0.0.1", reserve_port(), evacuation_s=evacuation_s
+            ),
             store,
             FEED_KINDS,
             connect,
@@ -79,12 +75,12 @@
 
 
 @asynccontextmanager
-async def fleet(count=2, **options):
+async def fleet(count=2, evacuation_s=None, zones=("z1",), **options):
     store = MemoryStore()
     store.put_directly("config", "main", configuration(**options))
-    async with Group("orders") as group:
+    async with Group("orders", zones=zones) as group:
         group.register(store)
-        vms = [Vm(f"vm{number}", store, group) for number in range(count)]
+        vms = [Vm(f"vm{number}", store, group, evacuation_s) for number in range(count)]
         await asyncio.gather(*(vm.start() for vm in vms))
         await eventually(lambda: all(primary(vm) for vm in vms), 20.0)
         try:
