--- a/citronwood/relay/evacuations.py
+++ b/citronwood/relay/evacuations.py
@@ -34,6 +34,9 @@
 # A longer time between two failed reads was a pause, and the first one proves nothing.
 # Of 94 VMs without news, each reads every 2.4 s, and a read fails within 0.8 s.
 MAX_FAILURE_GAP_S = 3.5
+# A store that was restored from a copy may lack an evacuation that the operator writes
+# again. It stays in force for this time, as long as a server that is missing then.
+RESTORED_GRACE_S = 2.5
 # Retry delays of refused statements: while another server can become the primary, and
 # while there is none outside of the evacuated domains.
 CHANGE_RETRY_S = 0.5
@@ -54,7 +57,7 @@
         self._failed_at = -math.inf
 
     def note_failed(self, asked_at: float) -> None:
-        """Record a read that failed while no other VM reported a recent one."""
+        """Record a read of the store by this VM that failed."""
         if asked_at - self._failed_at > MAX_FAILURE_GAP_S:
             self._failing_since = asked_at
         self._failed_at = asked_at
@@ -96,6 +99,9 @@
         self._is_read = False
         # By evacuated domain: when its open transactions are aborted.
         self._aborts_at: dict[str, float] = {}
+        # By evacuated domain: since when a restored store lacks it.
+        self._missing_since: dict[str, float] = {}
+        self._generation = 0
 
     @property
     def is_read(self) -> bool:
@@ -121,10 +127,11 @@
             return True
         return self._is_read and (self._known_at() >= time or self._is_contact_lost())
 
-    def update(self, domains: frozenset[str]) -> None:
+    def update(self, domains: frozenset[str], generation: int = 0) -> None:
         """Apply a list that differs from the previous one, or the first one.
 
         ``known_at`` must still refer to the previous list, which was in force then.
+        ``generation`` is the number of restores of the store before the list was read.
         """
         if self._evacuation_s is None:
             return
@@ -145,17 +152,35 @@
                 failure_domain=domain,
                 transactions_left_ms=round(max(0.0, aborts_at - time) * 1000),
             )
+        for domain in domains:
+            self._missing_since.pop(domain, None)
         for domain in sorted(self._aborts_at.keys() - domains):
-            del self._aborts_at[domain]
-            log_state(
-                log,
-                "evacuation",
-                "ended",
-                f"gateway: failure domain {domain} is no longer evacuated",
-                failure_domain=domain,
-            )
+            if generation != self._generation:
+                self._missing_since[domain] = time
+            elif domain not in self._missing_since:
+                self._end(domain)
+        self._generation = generation
         self._metrics.gauge("evacuations.domains", len(self._aborts_at))
 
+    def end_missing(self) -> None:
+        """End the evacuations that nobody has written again after a restore."""
+        cutoff = now() - RESTORED_GRACE_S
+        for domain, since in list(self._missing_since.items()):
+            if since <= cutoff:
+                del self._missing_since[domain]
+                self._end(domain)
+
+    def _end(self, domain: str) -> None:
+        del self._aborts_at[domain]
+        self._metrics.gauge("evacuations.domains", len(self._aborts_at))
+        log_state(
+            log,
+            "evacuation",
+            "ended",
+            f"gateway: failure domain {domain} is no longer evacuated",
+            failure_domain=domain,
+        )
+
     def mark(self, server: BackendServer) -> BackendServer:
         """Return a listed server with what follows from the evacuations.
 
--- a/citronwood/relay/follower.py
+++ b/citronwood/relay/follower.py
@@ -112,8 +112,12 @@
 
     @property
     def is_contact_lost(self) -> bool:
-        """Whether the store and the VMs that read it are known to be out of reach."""
-        return self._contact.is_lost
+        """Whether the store and the VMs that read it are known to be out of reach.
+
+        A VM that has heard of newer objects and could not get them knows that it does
+        not have the last ones.
+        """
+        return self._contact.is_lost and not self._outdated()
 
     def known_at(self, kind: str) -> float:
         """Return the latest time at which a feed is known to have matched the store."""
@@ -201,8 +205,7 @@
             await feed.poll(self._store, deadline_in(STORE_CALL_TIMEOUT_S))
             self._contact.note_heard()
         except PlatformError as error:
-            if self.is_source_stale:
-                self._contact.note_failed(asked_at)
+            self._contact.note_failed(asked_at)
             log_state(log, "feed", "failed", f"platform: {error}")
 
     async def _fetch_from(self, url: str, feed: Feed[Any]) -> None:
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -59,6 +59,7 @@
 from citronwood.relay.succession import Promotion, Succession
 from citronwood.relay.view import FleetState, PrimaryView
 from citronwood.tasks import cancel_tasks, keep_running
+from citronwood.versions import generation_of
 
 log = logging.getLogger(__name__)
 
@@ -171,13 +172,12 @@
         )
         peers = Feed(VM_KIND, decode_peers, self._apply_peers, read_by_all=False)
         self._peers: tuple[Peer, ...] = ()
+        self._evacuation_feed = Feed(
+            kinds.evacuations, kinds.decode_evacuations, self._apply_evacuations
+        )
         feeds: list[Feed[Any]] = [rules, servers, peers]
         if options.evacuation_s is not None:
-            feeds.append(
-                Feed(
-                    kinds.evacuations, kinds.decode_evacuations, self._apply_evacuations
-                )
-            )
+            feeds.append(self._evacuation_feed)
         self._feeds = FeedFollower(
             feeds,
             store,
@@ -590,7 +590,8 @@
         self._update_readiness()
 
     def _apply_evacuations(self, domains: frozenset[str]) -> None:
-        self._evacuations.update(domains)
+        generation = generation_of(self._evacuation_feed.version)
+        self._evacuations.update(domains, generation)
         self._server_list.apply()
         self._update_readiness()
 
--- a/citronwood/relay/routing.py
+++ b/citronwood/relay/routing.py
@@ -18,7 +18,7 @@
 )
 from citronwood.relay.absence import PrimaryAbsences
 from citronwood.relay.clock import now
-from citronwood.relay.evacuations import LIST_TOO_OLD, NO_EVACUATIONS, Evacuations
+from citronwood.relay.evacuations import NO_EVACUATIONS, Evacuations
 from citronwood.relay.model import (
     Account,
     BackendServer,
@@ -279,7 +279,7 @@
         try:
             async with timeout_at(deadline):
                 while True:
-                    await self._check_evacuations(route.group, deadline)
+                    self._check_evacuations(route.group)
                     primary = view.primary_of(route.group)
                     pool = self._context.servers.get(primary) if primary else None
                     if pool is not None:
@@ -295,14 +295,9 @@
         text = retry_message("the group has no primary", retry_s)
         raise refusal(Reason.OVERLOADED, text)
 
-    async def _check_evacuations(self, group: str, deadline: float) -> None:
-        """Refuse a statement if its group's primary is in an evacuated domain.
-
-        Waits first while the list of evacuations is too old.
-        """
+    def _check_evacuations(self, group: str) -> None:
+        """Refuse a statement if its group's primary is in an evacuated domain."""
         evacuations = self._context.evacuations
-        while not evacuations.is_current:
-            await self.wait_before_retry(deadline, LIST_TOO_OLD)
         primary = self._context.view.named_primary(group)
         if primary is None or not self._context.servers.is_evacuated(primary):
             return
--- a/citronwood/relay/server_list.py
+++ b/citronwood/relay/server_list.py
@@ -45,7 +45,8 @@
         self.drop_missing()
 
     def drop_missing(self) -> None:
-        """Drop the servers that have been missing for too long."""
+        """Drop servers and evacuations that have been missing for too long."""
+        self._evacuations.end_missing()
         cutoff = now() - MISSING_SERVER_GRACE_S
         for server, since in list(self._missing_since.items()):
             if since <= cutoff:
--- a/tests/test_relay_evacuations.py
+++ b/tests/test_relay_evacuations.py
@@ -10,6 +10,7 @@
 from citronwood.platform.api import Listing, VersionedObject
 from citronwood.platform.records import EVACUATIONS_KIND, decode_evacuations
 from citronwood.relay import evacuations as evacuations_module
+from citronwood.relay import feeds as feeds_module
 from citronwood.relay import follower as follower_module
 from citronwood.relay.clock import now
 from citronwood.relay.evacuations import Evacuations, StoreContact
@@ -122,9 +123,10 @@
     # Guards against a change that ends at a server which may not be used, and against
     # one that stops or turns back when the evacuation is removed.
     async def scenario(vms, store, group):
-        promote = group.promote
+        promote, changes = group.promote, set()
 
         async def evacuate_and_promote(name, server_id, *arguments):
+            changes.add(vms[0].node._view.state.groups["orders"].change)
             if not group.promotions:
                 chosen = next(s for s in group.servers if s.id == server_id)
                 zones = () if is_removed else ("z1", chosen.zone)
@@ -141,6 +143,7 @@
         promoted = [by_id[promotion[1]] for promotion in group.promotions]
         await until_led_by(vms, promoted[-1])
         assert len(group.promotions) == count == len(set(promoted) - {group.servers[0]})
+        assert len(changes) == 1
 
     run(scenario, sync_replicas=sync_replicas)
 
@@ -204,7 +207,7 @@
         await eventually(lambda: vms[0].node._owners.candidates(server))
         owner = vms[0].node._owners.candidates(server)[0].name
         sender = next(vm for vm in vms if vm.node._options.name != owner)
-        sender.node._evacuations.update = lambda domains: None
+        sender.node._evacuations.update = lambda domains, generation: None
         await eventually(lambda: sender.node._forwarding._urls(server))
         caller = await Caller.connect(sender.port)
         other = await Caller.connect(sender.port)
@@ -305,7 +308,7 @@
 class Clock:
     def __init__(self, monkeypatch):
         self.time = 1000.0
-        for module in (evacuations_module, follower_module):
+        for module in (evacuations_module, feeds_module, follower_module):
             monkeypatch.setattr(module, "now", lambda: self.time)
 
 
@@ -329,7 +332,11 @@
 
 def test_list_that_is_too_old_stops_everything(clock):
     # Guards against a VM that was paused and sends statements before it has heard of an
-    # evacuation, and against a fleet that stops in an outage of the store.
+    # evacuation, and against a fleet that stops in an outage of the store, or without
+    # the setting.
+    unused = Evacuations(None, Metrics(), lambda: -math.inf, lambda: False)
+    unused.update(frozenset({"z1"}))
+    assert unused.is_read and unused.reason_to_refuse(in_domain("z1")) is None
     decisions, known = make_evacuations(clock)
     known["at"] = -math.inf
     assert decisions.reason_to_refuse(in_domain("z1"))
@@ -358,6 +365,25 @@
     assert decisions.reason_to_abort(in_domain("z2")) is None
 
 
+def test_evacuation_survives_a_restore_of_the_store(clock):
+    # Guards against servers that are used while the operator has not written the
+    # evacuation again to a store that was restored from an earlier copy.
+    decisions, _ = make_evacuations(clock)
+    both = frozenset({"z1", "z2"})
+    decisions.update(both, 1)
+    decisions.update(frozenset(), 2)
+    decisions.update(frozenset({"z1"}), 2)
+    clock.time += evacuations_module.RESTORED_GRACE_S - 0.1
+    decisions.end_missing()
+    assert all(decisions.reason_to_refuse(in_domain(domain)) for domain in both)
+    clock.time += 0.2
+    decisions.end_missing()
+    assert decisions.mark(in_domain("z1")).evacuated
+    assert not decisions.mark(in_domain("z2")).evacuated
+    decisions.update(frozenset(), 2)
+    assert not decisions.mark(in_domain("z1")).evacuated
+
+
 def test_store_counts_as_lost_only_after_failures_without_a_pause(clock):
     # Guards against a VM that takes its own pause for an outage of the store.
     contact = StoreContact()
@@ -384,16 +410,16 @@
         follower = FeedFollower(feeds, store, lambda: False, lambda interval_s: 0.6)
         for feed in feeds:
             await feed.poll(store, 0.0)
-        read_at = feeds[1].polled_at
-        version = feeds[0].version
+        read_at, version = clock.time, feeds[0].version
+        clock.time += 1.0
         follower.note_source("tcp://old", {"config": version}, clock.time)
         assert follower.known_at(EVACUATIONS_KIND) == read_at
-        assert follower.current_at == feeds[0].polled_at
+        assert follower.current_at == read_at
         await follower._poll_unknown_to_source()
         assert store.calls.count(("list", EVACUATIONS_KIND)) == 2
         newer = {"config": version, EVACUATIONS_KIND: version + 1}
         follower.note_source("tcp://new", newer, clock.time + 1.0)
-        assert follower.known_at(EVACUATIONS_KIND) == feeds[1].polled_at
+        assert follower.known_at(EVACUATIONS_KIND) == clock.time
         same = {"config": version, EVACUATIONS_KIND: version}
         follower.note_source("tcp://new", same, clock.time + 2.0)
         assert follower.known_at(EVACUATIONS_KIND) == clock.time + 2.0
@@ -413,11 +439,12 @@
         follower = FeedFollower(
             [feed], AwayStore(), lambda: False, lambda interval_s: 0.6
         )
-        for _ in range(4):
+        follower.note_source("tcp://new", {EVACUATIONS_KIND: 5}, clock.time)
+        await follower.fetch()
+        for _ in range(3):
             clock.time += 0.6
-            follower.note_source("tcp://new", {EVACUATIONS_KIND: 5}, clock.time)
-            await follower.fetch()
-        assert not follower.is_contact_lost
+            await follower._poll(feed)
+        assert follower._contact.is_lost and not follower.is_contact_lost
 
     asyncio.run(scenario())
 
