--- a/citronwood/platform/records.py
+++ b/citronwood/platform/records.py
@@ -65,6 +65,8 @@
     max_conns: int = DEFAULT_MAX_CONNECTIONS
     # Number of replicas that have received a commit before it is acknowledged.
     sync_replicas: int = 0
+    # Requests/s from which the limit for a cold server follows; 0 without a limit.
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -96,6 +98,8 @@
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)] = 1
     # Start time in Unix milliseconds; distinguishes servers that reuse an id.
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
+    # Time until the server is as fast as usual.
+    cold_remaining_ms: float = 0.0
 
 
 def decode_rules(listing: Listing) -> Rules | None:
@@ -125,6 +129,10 @@
             service_record.name: service_record.sync_replicas
             for service_record in record.services
         },
+        cold_rates={
+            service_record.name: service_record.cold_per_s
+            for service_record in record.services
+        },
         transaction_idle_s=record.limits.tx_idle_ms / 1000,
     )
 
@@ -163,6 +171,7 @@
             draining=record.state == "draining",
             slots=record.slots,
             started_at=record.born,
+            cold=record.cold_remaining_ms > 0,
         )
     except (msgspec.ValidationError, ValueError) as error:
         log_state(
--- a/citronwood/relay/model.py
+++ b/citronwood/relay/model.py
@@ -51,6 +51,8 @@
     ``connection_caps`` has an entry for each group: the maximum number of connections
     to each of its servers, for all VMs together. ``sync_replicas`` has the number of
     replicas that have received a commit of a group before it is acknowledged.
+    ``cold_rates`` has the requests/s from which the limit for a cold server of a group
+    follows; 0 without a limit.
     """
 
     version: int
@@ -60,6 +62,7 @@
     connection_caps: dict[str, int]
     sync_replicas: dict[str, int]
     transaction_idle_s: float
+    cold_rates: dict[str, float] = {}
 
 
 class BackendServer(NamedTuple):
@@ -67,7 +70,8 @@
 
     ``started_at`` distinguishes a restarted server from the earlier process with the
     same id. ``evacuated`` is set while this VM knows that the server's failure domain
-    is evacuated; ``draining`` then is set as well.
+    is evacuated; ``draining`` then is set as well. ``cold`` is set while the server is
+    slow after its start.
     """
 
     id: str
@@ -80,6 +84,7 @@
     slots: int
     started_at: int
     evacuated: bool = False
+    cold: bool = False
 
 
 class Position(NamedTuple):
--- a/citronwood/relay/pool.py
+++ b/citronwood/relay/pool.py
@@ -21,9 +21,11 @@
 
 from citronwood.backend.queue import FairQueue
 from citronwood.deadline import deadline_in, has_passed, timeout_at
+from citronwood.decisions import log_state
 from citronwood.errors import (
     BackendUnavailableError,
     ConnectionLostError,
+    OverloadedError,
     ServerFullError,
 )
 from citronwood.relay.clock import now
@@ -42,6 +44,7 @@
     Urgency,
     Verb,
 )
+from citronwood.relay.warm_up import WarmUp
 
 log = logging.getLogger(__name__)
 
@@ -195,6 +198,8 @@
         after: Position | None = None,
     ) -> Answer:
         """Run a statement with the session's variables set."""
+        if self.in_transaction:
+            self._pool.warm_up.take()
         answer = await self._pool.measure(
             self._run(statement, settings, deadline, after)
         )
@@ -361,6 +366,7 @@
         self._failed_attempts = 0
         self._connecting = 0
         self._meter = LoadMeter()
+        self.warm_up = WarmUp()
 
     @property
     def load(self) -> int:
@@ -411,8 +417,14 @@
         """Take a connection for an account.
 
         Raises ``TimeoutError`` at the deadline, ``OverloadedError`` when none will be
-        free in time, and ``BackendUnavailableError`` when none can be opened now.
+        free in time or the server is cold, and ``BackendUnavailableError`` when none
+        can be opened now.
         """
+        delay_s = self.warm_up.delay_s()
+        if delay_s > 0:
+            text = f"gateway: {self.server.id} is cold and gets no more requests now"
+            log_state(log, "warm_up", "refused", text)
+            raise OverloadedError(delay_s)
         if in_transaction:
             wait_end = min(deadline, deadline_in(TRANSACTION_WAIT_S))
             await self._transactions.acquire(account, wait_end, always_queue=False)
--- a/citronwood/relay/servers.py
+++ b/citronwood/relay/servers.py
@@ -5,6 +5,7 @@
 domain is preferred until this VM's queue for it is longer than that for a remote one.
 """
 
+import math
 import random
 from collections.abc import Callable, Iterable
 from time import monotonic
@@ -12,6 +13,7 @@
 from citronwood.relay.model import BackendServer, Position, Role, Rules
 from citronwood.relay.pool import ServerPool
 from citronwood.relay.statement import ServerConnector
+from citronwood.relay.warm_up import cold_rate
 
 # Extra cost of a server, in units of one waiting request: for crossing a failure domain
 # and for opening a connection. Each takes about a fifth of the time of a typical read.
@@ -48,6 +50,7 @@
         self._groups: dict[str, list[str]] = {}
         self._suspect_until: dict[str, float] = {}
         self._connection_caps: dict[str, int] = {}
+        self._cold_rates: dict[str, float] = {}
         self._vm_count = 1
         self._owns: Callable[[BackendServer], bool | None] = lambda _: None
 
@@ -111,6 +114,8 @@
                 self._pools[server.id] = new_pool
             else:
                 existing.server = server
+            pool = self._pools[server.id]
+            pool.warm_up.set_rate(self._cold_rate(server))
             groups.setdefault(server.group, []).append(server.id)
         self._groups = groups
 
@@ -126,10 +131,12 @@
         use a server without forwarding.
         """
         self._connection_caps = rules.connection_caps
+        self._cold_rates = rules.cold_rates
         self._vm_count = max(1, vm_count)
         self._owns = owns
         for pool in self._pools.values():
             pool.resize(self._connection_limit(pool.server), self._share(pool.server))
+            pool.warm_up.set_rate(self._cold_rate(pool.server))
 
     def mark_suspect(self, server: str) -> None:
         """Deprioritize a server for a while."""
@@ -189,6 +196,13 @@
             return int(shared / self._vm_count)
         return int(shared) if is_owner else 0
 
+    def _cold_rate(self, server: BackendServer) -> float:
+        """Return how many requests/s this VM may send to a server."""
+        if not server.cold:
+            return math.inf
+        rate = self._cold_rates.get(server.group, 0.0)
+        return cold_rate(rate, self._vm_count, self._owns(server))
+
     def _connection_limit(self, server: BackendServer) -> int:
         return min(MAX_CONNECTIONS, max(MIN_CONNECTIONS, self._share(server)))
 
