--- a/citronwood/platform/records.py
+++ b/citronwood/platform/records.py
@@ -2,7 +2,7 @@
 
 Terms of the platform: a tenant is a client account, a zone a failure domain, a service
 a database group, a route's ``host`` the database name, an entry of ``servers`` a
-backend server.
+backend server, an object of ``evacuations`` an evacuated failure domain.
 """
 
 import logging
@@ -28,6 +28,7 @@
 RULES_KIND = "config"
 RULES_NAME = "main"
 SERVERS_KIND = "servers"
+EVACUATIONS_KIND = "evacuations"
 
 # Defaults for omitted limits, taken from the platform's examples.
 DEFAULT_STATEMENT_TIMEOUT_MS = 1000
@@ -64,6 +65,8 @@
     max_conns: int = DEFAULT_MAX_CONNECTIONS
     # Number of replicas that have received a commit before it is acknowledged.
     sync_replicas: int = 0
+    # Requests/s from which the limit for a cold server follows; 0 without a limit.
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -95,6 +98,8 @@
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)] = 1
     # Start time in Unix milliseconds; distinguishes servers that reuse an id.
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
+    # Time until the server is as fast as usual.
+    cold_remaining_ms: float = 0.0
 
 
 def decode_rules(listing: Listing) -> Rules | None:
@@ -124,6 +129,10 @@
             service_record.name: service_record.sync_replicas
             for service_record in record.services
         },
+        cold_rates={
+            service_record.name: service_record.cold_per_s
+            for service_record in record.services
+        },
         transaction_idle_s=record.limits.tx_idle_ms / 1000,
     )
 
@@ -138,6 +147,14 @@
     return servers
 
 
+def decode_evacuations(listing: Listing) -> frozenset[str]:
+    """Return the evacuated failure domains, by which the objects are named.
+
+    The content of an object does not matter, not even if it is malformed.
+    """
+    return frozenset(listing.objects)
+
+
 def _decode_server(server_id: str, value: dict[str, Any]) -> BackendServer | None:
     try:
         if re.match(_NAME_PATTERN, server_id) is None:
@@ -154,6 +171,7 @@
             draining=record.state == "draining",
             slots=record.slots,
             started_at=record.born,
+            cold=record.cold_remaining_ms > 0,
         )
     except (msgspec.ValidationError, ValueError) as error:
         log_state(
--- a/citronwood/relay/connection.py
+++ b/citronwood/relay/connection.py
@@ -143,6 +143,8 @@
         after: Position | None = None,
     ) -> Answer:
         """Run a statement with the session's variables set."""
+        if self.in_transaction:
+            self._pool.warm_up.take()
         permit = self.permit or await self._pool.admit_started(self, deadline)
         try:
             answer = await self._pool.measure(
--- a/citronwood/relay/messages.py
+++ b/citronwood/relay/messages.py
@@ -223,7 +223,7 @@
     describes it. ``excess_ms`` is as in ``OverloadedError``, or the expected wait of a
     declined read. The other fields are those of
     ``citronwood.relay.statement.Answer``. ``load`` is the load of the server at its
-    owner after the request.
+    owner after the request. With ``evacuated``, no VM may use the server.
     """
 
     outcome: str
@@ -236,6 +236,7 @@
     state: str = ""
     position: tuple[int, int] | None = None
     load: ServerLoad | None = None
+    evacuated: bool = False
 
 
 class AskPosition(NamedTuple):
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -4,7 +4,7 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from citronwood.deadline import deadline_in, timeout_at
 from citronwood.decisions import log_state
@@ -17,6 +17,7 @@
 from citronwood.relay.absence import PrimaryAbsences
 from citronwood.relay.balance import ReadBalance
 from citronwood.relay.clock import now
+from citronwood.relay.evacuations import Evacuations
 from citronwood.relay.failover import Failover
 from citronwood.relay.feeds import Feed
 from citronwood.relay.fencing import Fencing
@@ -51,6 +52,7 @@
 )
 from citronwood.relay.reports import Reports, has_ended
 from citronwood.relay.routing import SessionContext
+from citronwood.relay.server_list import ServerList
 from citronwood.relay.servers import Servers
 from citronwood.relay.session import Session
 from citronwood.relay.state_records import decode_state, encode_group, encode_state
@@ -58,6 +60,7 @@
 from citronwood.relay.succession import Promotion, Succession
 from citronwood.relay.view import FleetState, PrimaryView
 from citronwood.tasks import cancel_tasks, keep_running
+from citronwood.versions import generation_of
 
 log = logging.getLogger(__name__)
 
@@ -72,9 +75,6 @@
 # Assumed while the number of VMs is unknown; high, so that this VM's share is small.
 ASSUMED_VM_COUNT = 100
 MAINTENANCE_INTERVAL_S = 0.4
-# A server missing from the list is dropped after this time. Entries that expired during
-# an outage of the store are back within two seconds after the outage.
-MISSING_SERVER_GRACE_S = 2.5
 # Statements that run at an old primary get this time before its connections are closed.
 FENCE_DRAIN_TIMEOUT_S = 0.25
 
@@ -111,6 +111,8 @@
     decode_rules: Callable[[Listing], Rules | None]
     servers: str
     decode_servers: Callable[[Listing], list[BackendServer]]
+    evacuations: str
+    decode_evacuations: Callable[[Listing], frozenset[str]]
 
 
 class RelayNode:
@@ -146,9 +148,13 @@
             is_primary=lambda server: self._view.primary_of(server.group) == server.id,
             balance=balance,
         )
-        self._servers_known = False
-        self._missing_since: dict[str, float] = {}
-        self._listed: dict[str, BackendServer] = {}
+        self._evacuations = Evacuations(
+            options.evacuation_s,
+            metrics,
+            lambda: self._feeds.known_at(kinds.evacuations),
+            lambda: self._feeds.is_contact_lost,
+        )
+        self._server_list = ServerList(self._servers, self._evacuations)
         self._owners = Owners(options.name)
         self._forwarding = Forwarding(
             options.name,
@@ -161,7 +167,11 @@
             self._servers, connect, self._view, self._forwarding.ask_position
         )
         self._leases = Leases(
-            self._servers, self._view, self._probes, lambda: self._rules
+            self._servers,
+            self._view,
+            self._probes,
+            lambda: self._rules,
+            self._evacuations,
         )
         self._leadership = Leadership(
             store,
@@ -176,8 +186,14 @@
         )
         peers = Feed(VM_KIND, decode_peers, self._apply_peers, read_by_all=False)
         self._peers: tuple[Peer, ...] = ()
+        self._evacuation_feed = Feed(
+            kinds.evacuations, kinds.decode_evacuations, self._apply_evacuations
+        )
+        feeds: list[Feed[Any]] = [rules, servers, peers]
+        if options.evacuation_s is not None:
+            feeds.append(self._evacuation_feed)
         self._feeds = FeedFollower(
-            (rules, servers, peers),
+            feeds,
             store,
             lambda: self._leadership.is_leader,
             self._scale_interval,
@@ -221,6 +237,7 @@
             self._limiter,
             self._forwarding,
             PrimaryAbsences(),
+            self._evacuations,
         )
 
     @property
@@ -238,7 +255,8 @@
         """Whether this VM can serve callers."""
         return (
             self._rules is not None
-            and self._servers_known
+            and self._server_list.is_known
+            and self._evacuations.is_read
             and self._registry.is_registered
             and self._view.state is not None
         )
@@ -354,6 +372,7 @@
             ),
             self._groups,
             self._sync_replicas,
+            self._evacuations,
         )
         self._start_loop("the failover", self._failover.run)
 
@@ -582,31 +601,14 @@
         self._divide_connections()
 
     def _apply_servers(self, servers: list[BackendServer]) -> None:
-        listed = {entry.id: entry for entry in servers}
-        time_now = now()
-        for server in self._listed:
-            if server not in listed:
-                self._missing_since.setdefault(server, time_now)
-        for server in listed:
-            self._missing_since.pop(server, None)
-        self._listed = {**self._listed, **listed}
-        self._servers_known = True
-        self._drop_missing()
+        self._server_list.update(servers)
         self._update_readiness()
 
-    def _drop_missing(self) -> None:
-        cutoff = now() - MISSING_SERVER_GRACE_S
-        for server, since in list(self._missing_since.items()):
-            if since <= cutoff:
-                del self._missing_since[server]
-                self._listed.pop(server, None)
-                log_state(
-                    log,
-                    "server",
-                    "gone",
-                    f"gateway: dropped server {server}, missing from the list",
-                )
-        self._servers.replace(self._listed.values())
+    def _apply_evacuations(self, domains: frozenset[str]) -> None:
+        generation = generation_of(self._evacuation_feed.version)
+        self._evacuations.update(domains, generation)
+        self._server_list.apply()
+        self._update_readiness()
 
     def _use_secret_of_fleet(self) -> None:
         """Use the fleet's secret, which changes if a restored store has no state."""
@@ -617,7 +619,8 @@
     async def _run_maintenance(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
-            self._drop_missing()
+            self._server_list.drop_missing()
+            self._server_list.abort_evacuated()
             self._servers.maintain()
             self._probes.close_idle()
             self._leases.end_unused()
--- a/citronwood/relay/pool.py
+++ b/citronwood/relay/pool.py
@@ -19,9 +19,11 @@
 
 from citronwood.backend.queue import FairQueue
 from citronwood.deadline import deadline_in, has_passed, timeout_at
+from citronwood.decisions import log_state
 from citronwood.errors import (
     BackendUnavailableError,
     ConnectionLostError,
+    OverloadedError,
     ServerFullError,
 )
 from citronwood.relay.admission import Permit, StatementGate
@@ -35,6 +37,7 @@
     ServerConnector,
     Urgency,
 )
+from citronwood.relay.warm_up import WarmUp
 
 log = logging.getLogger(__name__)
 
@@ -123,6 +126,7 @@
         self._failed_attempts = 0
         self._connecting = 0
         self._meter = LoadMeter()
+        self.warm_up = WarmUp()
 
     @property
     def server(self) -> BackendServer:
@@ -192,10 +196,15 @@
         """Take a connection for an account.
 
         Raises ``TimeoutError`` at the deadline, ``OverloadedError`` when none will be
-        free in time, and ``BackendUnavailableError`` when none can be opened now.
-        Outside of transactions, the connection has a permit of the gate until it is
-        given back.
+        free in time or the server is cold, and ``BackendUnavailableError`` when none
+        can be opened now. Outside of transactions, the connection has a permit of the
+        gate until it is given back.
         """
+        delay_s = self.warm_up.delay_s()
+        if delay_s > 0:
+            text = f"gateway: {self.server.id} is cold and gets no more requests now"
+            log_state(log, "warm_up", "refused", text)
+            raise OverloadedError(delay_s)
         permit = None
         if in_transaction:
             wait_end = min(deadline, deadline_in(TRANSACTION_WAIT_S))
--- a/citronwood/relay/routing.py
+++ b/citronwood/relay/routing.py
@@ -21,6 +21,7 @@
 from citronwood.relay.balance import ReadAttempts, Result
 from citronwood.relay.clock import now
 from citronwood.relay.connection import LeasedConnection, SessionSettings
+from citronwood.relay.evacuations import NO_EVACUATIONS, Evacuations
 from citronwood.relay.model import (
     Account,
     BackendServer,
@@ -131,6 +132,7 @@
     admission: Admission
     forwarding: Forwarding
     absences: PrimaryAbsences
+    evacuations: Evacuations = NO_EVACUATIONS
 
 
 async def find_floor(
@@ -292,6 +294,11 @@
             finally:
                 if balance is not None:
                     balance.end_arrival(pool.server.id)
+            # The list may have changed or become too old during the wait.
+            reason = self._context.evacuations.reason_to_refuse(pool.server)
+            if reason is not None:
+                connection.release()
+                raise BackendUnavailableError(reason)
             connection.floor = floor
             return connection
         except OverloadedError as error:
@@ -310,6 +317,7 @@
         try:
             async with timeout_at(deadline):
                 while True:
+                    self._check_evacuations(route.group)
                     primary = view.primary_of(route.group)
                     pool = self._context.servers.get(primary) if primary else None
                     if pool is not None:
@@ -325,6 +333,19 @@
         text = retry_message("the group has no primary", retry_s)
         raise refusal(Reason.OVERLOADED, text)
 
+    def _check_evacuations(self, group: str) -> None:
+        """Refuse a statement if its group's primary is in an evacuated domain."""
+        evacuations = self._context.evacuations
+        primary = self._context.view.named_primary(group)
+        if primary is None or not self._context.servers.is_evacuated(primary):
+            return
+        servers = self._context.servers.of_group(group)
+        domain = next(s.failure_domain for s in servers if s.id == primary)
+        evacuations.count_refused()
+        text = f"not run: failure domain {domain} of the primary is evacuated"
+        text = retry_message(text, evacuations.retry_s(servers))
+        raise refusal(Reason.OVERLOADED, text)
+
     async def choose_reader(
         self,
         route: Route,
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -13,18 +13,13 @@
 from citronwood.operator.diagnosis import diagnose_request, parse_decision_lines
 from citronwood.platform.callers import CallerListener
 from citronwood.platform.nodefile import Address
-from citronwood.platform.records import (
-    RULES_KIND,
-    SERVERS_KIND,
-    decode_rules,
-    decode_servers,
-)
+from citronwood.platform.process import FEED_KINDS
 from citronwood.platform.wire import connect
 from citronwood.relay import node as node_module
 from citronwood.relay import registry as registry_module
 from citronwood.relay.clock import now
 from citronwood.relay.messages import FenceGroup, ReportToLeader
-from citronwood.relay.node import FeedKinds, RelayNode, RelayOptions
+from citronwood.relay.node import RelayNode, RelayOptions
 from citronwood.relay.statement import Reason, Statement, TransactionState, Verb
 from citronwood.relay.view import LEASE_S, FleetState
 from tests.fleet_helpers import eventually
@@ -38,7 +33,6 @@
 )
 
 LEADER = Sender("leader", 1, "tcp://leader", 0.0)
-FEED_KINDS = FeedKinds(RULES_KIND, decode_rules, SERVERS_KIND, decode_servers)
 
 
 class Vm:
@@ -80,10 +74,10 @@
 
 
 @asynccontextmanager
-async def fleet(count=2, relay_options=MappingProxyType({}), **options):
+async def fleet(count=2, zones=("z1",), relay_options=MappingProxyType({}), **options):
     store = MemoryStore()
     store.put_directly("config", "main", configuration(**options))
-    async with Group("orders") as group:
+    async with Group("orders", zones=zones) as group:
         group.register(store)
         vms = [
             Vm(f"vm{number}", store, group, **relay_options) for number in range(count)
