--- a/citronwood/relay/failover.py
+++ b/citronwood/relay/failover.py
@@ -257,7 +257,9 @@
                 self._note_observation(report, probe.asked_at, processes)
                 self._records.note_primary(report, listed)
         elif not self._probes.answered_within(current.primary, RECENT_ANSWER_S):
-            return await self._reason_of_silence(group, current.primary)
+            # A primary in an evacuated domain may not serve, whoever reaches it.
+            if not self._servers.is_evacuated(current.primary):
+                return await self._reason_of_silence(group, current.primary)
         reason = await self._succession.reason_to_leave(group, current.primary)
         if reason is not None:
             return reason
--- a/tests/test_relay_evacuations.py
+++ b/tests/test_relay_evacuations.py
@@ -148,6 +148,30 @@
     run(scenario, sync_replicas=sync_replicas)
 
 
+def test_evacuated_primary_that_only_other_vms_reach_is_replaced():
+    # Guards against a primary that stays, although no VM may use it, because the others
+    # reach it.
+    async def scenario(vms, store, group):
+        lost = group.servers[0].id
+        for vm in vms:
+            probes = vm.node._probes
+            status, answered = probes.status, probes.answered_within
+
+            async def status_of_others(server, deadline, status=status):
+                return None if server == lost else await status(server, deadline)
+
+            probes.status = status_of_others
+            probes.answered_within = lambda server, seconds, answered=answered: (
+                server != lost and answered(server, seconds)
+            )
+            checks = vm.node._failover
+            checks._is_reachable_by_others = lambda server: asyncio.sleep(0, True)
+        evacuate(store, "z1")
+        await eventually(lambda: all(primary(vm) not in (None, lost) for vm in vms))
+
+    run(scenario)
+
+
 def test_change_waits_while_all_domains_are_evacuated():
     # Guards against the promotion of a server in an evacuated domain for lack of
     # another one, and against a change that does not go on after the removal.
--- a/tests/test_relay_succession.py
+++ b/tests/test_relay_succession.py
@@ -62,7 +62,7 @@
         self.store = MemoryStore()
         self.view = PrimaryView()
         self.promoted = []
-        self.is_draining = lambda server: False
+        self.is_draining = self.is_evacuated = lambda server: False
         self.answered_within = lambda server, seconds: False
         self.get = self.members.get
         self._loop = loop
