--- a/citronwood/settings.py
+++ b/citronwood/settings.py
@@ -87,6 +87,12 @@
     platform_burst: Annotated[int, Field(ge=1, le=1000)] = Field(
         12, description="maximum burst of calls to the platform's service"
     )
+    memory_mb: Annotated[float, Field(ge=0)] = Field(
+        0.0, description="memory of the process in MB, 0 if it is not limited"
+    )
+    max_descriptors: Annotated[int, Field(ge=0)] = Field(
+        0, description="file descriptors of the process, 0 for the limit of the system"
+    )
 
 
 class LoadedSettings(NamedTuple):
--- a/tests/relay_standins.py
+++ b/tests/relay_standins.py
@@ -18,6 +18,8 @@
 
 # Versions of the store count on from here with each restore from a copy.
 GENERATION_SPAN = 10**12
+# Longer than the longest message of a caller, to which the relay adds a position.
+MAX_LINE_BYTES = 1 << 21
 # Kinds whose writers write their objects again after a restore.
 FOREIGN_KINDS = ("config", "servers")
 
@@ -391,7 +393,9 @@
         self._signatures = count(1)
 
     async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self.port, limit=MAX_LINE_BYTES
+        )
         self.port = self._server.sockets[0].getsockname()[1]
         self.running = True
         self.receive_rest()
