--- a/tests/test_ingress_crowds.py
+++ b/tests/test_ingress_crowds.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import pytest
+from aiohttp import web
 
 from tests.callers import open_raw
 from tests.fleet import Fleet
@@ -70,13 +71,42 @@
         assert self.descriptors <= MAX_DESCRIPTORS - RESERVED_DESCRIPTORS
 
 
+@asynccontextmanager
+async def promotions(group):
+    """Serve the platform's call that makes a server primary; return the port.
+
+    The servers answer late while a crowd keeps the test's own process busy, so that
+    their primary may be replaced.
+    """
+
+    async def promote(request):
+        body = await request.json()
+        promoted = await group.promote(group.name, body["id"], "", 0, 0.0)
+        return web.json_response({}, status=200 if promoted else 409)
+
+    application = web.Application()
+    application.router.add_post("/promote", promote)
+    runner = web.AppRunner(application, shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    try:
+        yield site._server.sockets[0].getsockname()[1]
+    finally:
+        await runner.cleanup()
+
+
 @asynccontextmanager
 async def crowded_vm(folder):
     """Run a VM; afterwards check its limits and that it answers a request."""
-    async with StoreServer() as store, Group("orders") as group:
+    async with (
+        StoreServer() as store,
+        Group("orders") as group,
+        promotions(group) as promote_port,
+    ):
         store.store.put_directly("config", "main", configuration())
         group.register(store.store)
-        vm = Vm(0, folder, int(store.address.split(":")[1]), 1)
+        vm = Vm(0, folder, int(store.address.split(":")[1]), promote_port)
         vm._fields["limits.memory_mb"] = str(MEMORY_MB)
         vm._fields["limits.max_fds"] = str(MAX_DESCRIPTORS)
         vm.start()
