--- /dev/null
+++ b/citronwood/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Limits for callers outside of our control: connections, bytes and time."""
--- a/citronwood/platform/callers.py
+++ b/citronwood/platform/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from contextlib import suppress
 from time import monotonic
 
 from aiohttp import web
@@ -10,6 +11,9 @@
 from citronwood.deadline import deadline_in
 from citronwood.decisions import current_request, log_request, log_state
 from citronwood.errors import MessageError
+from citronwood.ingress.acceptor import Acceptor, bind
+from citronwood.ingress.budget import Limits, derive_limits
+from citronwood.ingress.stream import CallerStream, Ingress, StatementsCrowdedError
 from citronwood.metrics import Metrics
 from citronwood.platform.nodefile import Address
 from citronwood.platform.wire import (
@@ -20,7 +24,6 @@
     encode_ready,
     parse_query,
     parse_start,
-    read_line,
 )
 from citronwood.relay.node import RelayNode
 from citronwood.relay.session import Session
@@ -52,6 +55,9 @@
 # stopped.
 FLEET_LEAVE_RESERVE_S = 1.0
 STOP_POLL_S = 0.05
+CONNECTIONS_REFUSAL = encode_failure(
+    Failure(Reason.OVERLOADED, "not run, too many connections; retry in 1000 ms")
+)
 # A session that was answered within this time is kept open at first, because its next
 # statement may be on the way.
 RECENT_ANSWER_S = 0.05
@@ -76,23 +82,33 @@
 class CallerListener:
     """Accepts connections of callers and serves their sessions."""
 
-    def __init__(self, node: RelayNode, address: Address, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        node: RelayNode,
+        address: Address,
+        metrics: Metrics,
+        limits: Limits | None = None,
+    ) -> None:
         self._node = node
         self._address = address
         self._metrics = metrics
-        self._server: asyncio.Server | None = None
+        self._ingress = Ingress(limits or derive_limits(), metrics)
+        self._server: Acceptor | None = None
         self._connections: set[_CallerConnection] = set()
         self._all_closed = asyncio.Event()
         self._stop = _Stop()
 
     async def start(self) -> None:
         """Listen for callers."""
-        self._server = await asyncio.start_server(
-            self._serve,
-            self._address.host,
-            self._address.port,
-            limit=MAX_MESSAGE_BYTES,
-            backlog=LISTEN_BACKLOG,
+        self._ingress.start()
+        self._server = Acceptor(
+            bind(self._address.host, self._address.port, LISTEN_BACKLOG),
+            lambda: CallerStream(self._ingress, self._serve, MAX_MESSAGE_BYTES),
+            self._ingress.connections,
+            self._ingress.evict,
+            self._metrics,
+            "callers",
+            CONNECTIONS_REFUSAL,
         )
 
     async def stop(self, grace_s: float) -> None:
@@ -104,6 +120,12 @@
         ``FLEET_LEAVE_RESERVE_S`` before its end, the statements that still run get an
         answer without a result, and all connections are closed.
         """
+        try:
+            await self._stop_sessions(grace_s)
+        finally:
+            self._ingress.stop()
+
+    async def _stop_sessions(self, grace_s: float) -> None:
         loop = asyncio.get_running_loop()
         started = loop.time()
         deadline = started + grace_s - FLEET_LEAVE_RESERVE_S
@@ -137,23 +159,21 @@
             self._server.close()
             self._server = None
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        configure_socket(writer)
+    async def _serve(self, stream: CallerStream) -> None:
+        with suppress(OSError):
+            configure_socket(stream)
         connection = _CallerConnection(
-            self._node, reader, writer, self._metrics, self._stop
+            self._node, stream, self._ingress, self._metrics, self._stop
         )
         self._connections.add(connection)
         try:
             await connection.run()
-        except (OSError, asyncio.IncompleteReadError):
+        except OSError:
             self._metrics.count("callers.disconnected")
         finally:
             self._connections.discard(connection)
             if not self._connections:
                 self._all_closed.set()
-            writer.close()
 
 
 class _CallerConnection:
@@ -162,14 +182,14 @@
     def __init__(
         self,
         node: RelayNode,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        stream: CallerStream,
+        ingress: Ingress,
         metrics: Metrics,
         stop: _Stop,
     ) -> None:
         self._node = node
-        self._reader = reader
-        self._writer = writer
+        self._stream = stream
+        self._ingress = ingress
         self._metrics = metrics
         self._stop = stop
         self._session: Session | None = None
@@ -189,7 +209,7 @@
             return
         if self._session is None or self._session.state is TransactionState.IDLE:
             if monotonic() >= self._answered_at + RECENT_ANSWER_S:
-                self._writer.close()
+                self._stream.close()
         elif self._stop.ends_transactions:
             self._session.abort_transaction()
 
@@ -197,7 +217,7 @@
         """Close the connection after an answer to the statement that runs."""
         self._is_cut = True
         if self._limit is None:
-            self._writer.close()
+            self._stream.close()
         else:
             self._limit.reschedule(asyncio.get_running_loop().time())
 
@@ -209,7 +229,7 @@
         self._session = session
         try:
             while await self._serve_statement(session):
-                await self._writer.drain()
+                await self._stream.drain()
         finally:
             await session.close()
 
@@ -217,11 +237,15 @@
         """Open the session; None if no valid first message arrives or it is refused."""
         try:
             async with asyncio.timeout(START_TIMEOUT_S):
-                line = await read_line(self._reader)
+                line = await self._stream.read_message()
         except TimeoutError:
             return None
+        except MessageError as error:
+            await self._refuse_message(error)
+            return None
         if line is None:
             return None
+        self._stream.set_busy()
         failure: Failure | None
         try:
             start = parse_start(line)
@@ -244,18 +268,70 @@
                 failure.reason.value,
                 f"entry: a session was refused: {failure.message}",
             )
+            if failure.reason in (Reason.UNKNOWN_KEY, Reason.UNKNOWN_DATABASE):
+                await self._delay_refusal()
             self._send(encode_failure(failure))
-            await self._writer.drain()
+            await self._stream.drain()
             return None
         self._send(encode_ready(session.state, None))
         return session
 
+    async def _delay_refusal(self) -> None:
+        """Delay a refusal if there were many to this address."""
+        pacer = self._ingress.pacer
+        delay_s = pacer.delay_s(self._stream.peer, monotonic())
+        if delay_s:
+            self._metrics.count("callers.refusals_delayed")
+            pacer.delayed += 1
+            try:
+                await asyncio.sleep(delay_s)
+            finally:
+                pacer.delayed -= 1
+
+    async def _refuse_message(
+        self,
+        error: MessageError,
+        state: TransactionState = TransactionState.IDLE,
+    ) -> None:
+        """Answer a message that is too long, and discard the rest of it."""
+        self._metrics.count("callers.closed.oversized")
+        text = f"not run, the message exceeds {MAX_MESSAGE_BYTES} bytes"
+        log_state(
+            log,
+            "callers",
+            "closed_oversized",
+            f"entry: a message was refused: {error}",
+            peer=self._stream.peer,
+        )
+        failure = Failure(Reason.TOO_LONG, text)
+        self._send(encode_answer(Answer(failure=failure, state=state)))
+        await self._stream.discard()
+
+    def _refuse_crowded(self, state: TransactionState) -> None:
+        """Answer a long statement that was dropped."""
+        self._metrics.count("callers.refused.long_statement")
+        text = "not run, too many long statements at once; retry in 1000 ms"
+        log_state(log, "callers", "refused_long_statement", f"entry: {text}")
+        failure = Failure(Reason.OVERLOADED, text)
+        self._send(encode_answer(Answer(failure=failure, state=state)))
+
     async def _serve_statement(self, session: Session) -> bool:
         """Serve the next statement; False at the end of the session."""
         self._busy = False
         self._answered_at = monotonic()
-        line = await self._read_message(session)
-        self._busy = True
+        if session.state is TransactionState.IDLE:
+            self._stream.set_idle(self._answered_at)
+        try:
+            line = await self._read_message(session)
+        except StatementsCrowdedError:
+            self._refuse_crowded(session.state)
+            return True
+        except MessageError as error:
+            await self._refuse_message(error, session.state)
+            return False
+        finally:
+            self._stream.set_busy()
+            self._busy = True
         if line is None:
             return False
         try:
@@ -285,9 +361,9 @@
 
     def _send(self, data: bytes) -> None:
         """Write, or raise ``ConnectionResetError`` if the connection is closed."""
-        if self._writer.is_closing():
+        if self._stream.is_closing():
             raise ConnectionResetError("the connection of the caller is closed")
-        self._writer.write(data)
+        self._stream.write(data)
 
     async def _run_statement(self, session: Session, statement: Statement) -> Answer:
         rules = self._node.rules
@@ -316,8 +392,8 @@
         """Return the next line; abort the transaction at its idle timeout."""
         rules = self._node.rules
         if session.state is not TransactionState.OPEN or rules is None:
-            return await read_line(self._reader)
-        reading = asyncio.ensure_future(read_line(self._reader))
+            return await self._stream.read_message()
+        reading = asyncio.ensure_future(self._stream.read_message())
         try:
             completed, _ = await asyncio.wait(
                 {reading}, timeout=rules.transaction_idle_s
--- a/citronwood/platform/process.py
+++ b/citronwood/platform/process.py
@@ -13,6 +13,7 @@
 from citronwood.deadline import deadline_in
 from citronwood.decisions import log_state
 from citronwood.errors import SettingsError
+from citronwood.ingress.budget import derive_limits
 from citronwood.logs import configure_logs
 from citronwood.metrics import Metrics
 from citronwood.operator.exposition import MetricsServer
@@ -101,7 +102,8 @@
         readiness = ReadinessServer(
             lambda: node.is_ready and not stopping.is_set(), settings.readiness
         )
-        callers = CallerListener(node, settings.callers, metrics)
+        limits = derive_limits(settings.memory_mb, settings.max_descriptors)
+        callers = CallerListener(node, settings.callers, metrics, limits)
         await callers.start()
         await readiness.start()
         await node.start()
--- a/citronwood/platform/wire.py
+++ b/citronwood/platform/wire.py
@@ -8,7 +8,7 @@
 import asyncio
 import socket
 import struct
-from typing import NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from citronwood.deadline import timeout_at
 from citronwood.errors import (
@@ -420,9 +420,13 @@
     return connection
 
 
-def configure_socket(writer: asyncio.StreamWriter) -> None:
+class _HasSocket(Protocol):
+    def get_extra_info(self, name: str) -> Any: ...
+
+
+def configure_socket(connection: _HasSocket) -> None:
     """Limit the time until the peer acknowledges data; disable Nagle's algorithm."""
-    raw_socket = writer.get_extra_info("socket")
+    raw_socket = connection.get_extra_info("socket")
     if raw_socket is not None:
         raw_socket.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
--- a/tests/test_relay_callers.py
+++ b/tests/test_relay_callers.py
@@ -108,7 +108,7 @@
         caller = writer.get_extra_info("socket")
         caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         writer.transport.abort()
-        await eventually(connection._writer.is_closing)
+        await eventually(connection._stream.is_closing)
         session.may_end.set()
         await eventually(lambda: session.closed and not listener._connections)
         await listener.stop(0.0)
