--- a/citronwood/ingress/acceptor.py
+++ b/citronwood/ingress/acceptor.py
@@ -9,6 +9,7 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
+from ssl import SSLContext
 from time import monotonic
 from typing import Any
 
@@ -27,14 +28,8 @@
 # of received data and 4 MB of answers for one connection.
 RECEIVE_BUFFER_BYTES = 32 * 1024
 SEND_BUFFER_BYTES = 16 * 1024
-
-
-def bind(host: str, port: int, backlog: int) -> socket.socket:
-    """Return a listening socket whose connections have bounded kernel buffers."""
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listening = socket.create_server((host, port), family=family, backlog=backlog)
-    limit_kernel_buffers(listening)
-    return listening
+# Received data of another VM: a frame is about 128 KiB at most under load.
+PEER_BUFFER_BYTES = 128 * 1024
 
 
 def limit_kernel_buffers(listening: socket.socket) -> None:
@@ -60,6 +55,8 @@
         metrics: Metrics,
         name: str,
         refusal: bytes = b"",
+        on_refused: Callable[[], None] | None = None,
+        ssl: SSLContext | None = None,
     ) -> None:
         listening.setblocking(False)
         self._listening = listening
@@ -69,11 +66,19 @@
         self._metrics = metrics
         self._name = name
         self._refusal = refusal
+        self._on_refused = on_refused
+        self._ssl = ssl
         self._loop = asyncio.get_running_loop()
         self._is_closed = False
         self._attaching: set[asyncio.Task[None]] = set()
         self._loop.add_reader(listening, self._accept)
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port, the actual one for port 0."""
+        host, port = self._listening.getsockname()[:2]
+        return str(host), int(port)
+
     def close(self) -> None:
         """Stop listening; open connections are not affected."""
         if not self._is_closed:
@@ -119,6 +124,8 @@
                 with suppress(OSError):
                     accepted.send(self._refusal)
             accepted.close()
+            if self._on_refused is not None:
+                self._on_refused()
             return
         if given_up is not None:
             self._evict(given_up)
@@ -127,15 +134,53 @@
         task.add_done_callback(self._attaching.discard)
 
     async def _attach(self, accepted: socket.socket) -> None:
-        protocol: asyncio.BaseProtocol | None = None
-
-        def make_protocol() -> asyncio.BaseProtocol:
-            nonlocal protocol
-            protocol = self._make_protocol()
-            return protocol
-
         try:
-            await self._loop.connect_accepted_socket(make_protocol, accepted)
+            await self._loop.connect_accepted_socket(
+                self._make_protocol, accepted, ssl=self._ssl
+            )
         except OSError:
+            # With TLS, a failed handshake; without it, the protocol was not connected.
             accepted.close()
             self._budget.open -= 1
+
+
+async def listen(
+    host: str,
+    port: int,
+    backlog: int,
+    make_protocol: Callable[[], asyncio.BaseProtocol],
+    budget: ConnectionBudget[Any],
+    evict: Callable[[Any], None],
+    metrics: Metrics,
+    name: str,
+    refusal: bytes = b"",
+    ssl: SSLContext | None = None,
+) -> Acceptor:
+    """Listen for callers; the simulation replaces this function."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listening = socket.create_server((host, port), family=family, backlog=backlog)
+    limit_kernel_buffers(listening)
+    return Acceptor(
+        listening, make_protocol, budget, evict, metrics, name, refusal, ssl=ssl
+    )
+
+
+async def accept_peers(
+    listening: socket.socket,
+    make_protocol: Callable[[], asyncio.BaseProtocol],
+    budget: ConnectionBudget[Any],
+    evict: Callable[[Any], None],
+    metrics: Metrics,
+    on_refused: Callable[[], None],
+) -> Acceptor:
+    """Accept connections of other VMs; the simulation replaces this function."""
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PEER_BUFFER_BYTES)
+    return Acceptor(
+        listening,
+        make_protocol,
+        budget,
+        evict,
+        metrics,
+        "inner",
+        on_refused=on_refused,
+    )
--- a/citronwood/ingress/budget.py
+++ b/citronwood/ingress/budget.py
@@ -141,15 +141,25 @@
 
     Only connections that are idle can be closed for a new one: first those without a
     complete first message, then the one that has been idle longest. Connections with a
-    transaction or a running statement are never listed as idle.
+    transaction or a running statement are never listed as idle. The arguments are the
+    times for which a connection must have been listed before it is closed.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(
+        self,
+        limit: int,
+        min_unstarted_s: float = MIN_IDLE_S,
+        min_idle_s: float = MIN_IDLE_S,
+    ) -> None:
         self.limit = limit
         self.open = 0
         # In the order in which the connections became idle, which a dict keeps.
         self._unstarted: dict[K, float] = {}
         self._idle: dict[K, float] = {}
+        self._candidates = (
+            (self._unstarted, min_unstarted_s),
+            (self._idle, min_idle_s),
+        )
 
     def admit(self, now: float) -> K | Refused | None:
         """Count a new connection.
@@ -160,9 +170,9 @@
         if self.open < self.limit:
             self.open += 1
             return None
-        for candidates in (self._unstarted, self._idle):
+        for candidates, min_listed_s in self._candidates:
             key = next(iter(candidates), None)
-            if key is not None and now - candidates[key] >= MIN_IDLE_S:
+            if key is not None and now - candidates[key] >= min_listed_s:
                 del candidates[key]
                 self.open += 1
                 return key
--- a/citronwood/inner/listener.py
+++ b/citronwood/inner/listener.py
@@ -15,15 +15,19 @@
 
 from aiohttp import WebSocketError, WSCloseCode, WSMsgType, web
 
+from citronwood.ingress.acceptor import accept_peers
+from citronwood.ingress.budget import ByteBudget, ConnectionBudget, Limits
 from citronwood.inner.messages import MAX_MESSAGE_BYTES
 from citronwood.inner.refusals import RefusalCounter
+from citronwood.metrics import Metrics
 from citronwood.tasks import cancel_tasks
 
 log = logging.getLogger(__name__)
 
 # In a fleet of 620 VMs, about 30 are connected to this one at a time; VMs that
-# reconnect may leave up to a thousand stale connections. Connections above the limit
-# are closed at once.
+# reconnect may leave up to a thousand stale connections. Used when the descriptors of
+# the process are not known. For connections above the limit, one without a handshake or
+# a frame for a while is closed, or they are refused.
 MAX_CONNECTIONS = 2048
 LISTEN_BACKLOG = 1024
 # A connection without a complete request is closed after this time.
@@ -32,6 +36,14 @@
 # belongs to a VM that is gone or to an unknown client.
 INBOUND_IDLE_TIMEOUT_S = 30.0
 IDLE_CHECK_INTERVAL_S = 5.0
+# Connections that are idle for longer than senders keep them may be closed for new
+# ones.
+REPLACEABLE_IDLE_S = 10.0
+# Bytes of frames and handshakes that have not ended, over all connections. Used when
+# the memory of the process is not known.
+MAX_BUFFERED_BYTES = 64 * MAX_MESSAGE_BYTES
+# Incomplete frames up to this size are not counted.
+SMALL_FRAME_BYTES = 16 * 1024
 CLOSE_TIMEOUT_S = 1.0
 
 
@@ -39,20 +51,25 @@
     """Web server that passes the frames of other VMs to a callback."""
 
     def __init__(
-        self, refusals: RefusalCounter, deliver: Callable[[bytes], None]
+        self,
+        refusals: RefusalCounter,
+        deliver: Callable[[bytes], bool],
+        metrics: Metrics,
+        limits: Limits | None = None,
     ) -> None:
         self._refusals = refusals
+        self._metrics = metrics
         self._deliver = deliver
         # By connection: time of the last frame, or of the handshake if none came yet.
         self._last_frame_at: dict[asyncio.Transport, float] = {}
-        self._server = _Server(self._handle_connection, refusals)
+        self._server = _Server(self._handle_connection, refusals, limits)
         self._socket: socket.socket | None = None
         self._tasks: list[asyncio.Task[Any]] = []
 
     @property
     def connections(self) -> int:
         """Number of open connections, including those in the handshake."""
-        return self._server.open_connections
+        return self._server.budget.open
 
     def start(self, url: str) -> str:
         """Listen and return the URL, with the actual port if ``url`` has port 0."""
@@ -83,9 +100,13 @@
         await self._server.shutdown(CLOSE_TIMEOUT_S)
 
     async def _run_server(self, listening: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            self._server, sock=listening, backlog=LISTEN_BACKLOG
+        server = await accept_peers(
+            listening,
+            self._server,
+            self._server.budget,
+            self._server.evict,
+            self._metrics,
+            lambda: self._refusals.record("too_many_connections", "from a peer"),
         )
         try:
             await asyncio.Event().wait()
@@ -117,23 +138,33 @@
         transport = request.transport
         if transport is None:
             raise ConnectionResetError("the peer closed during the handshake")
+        protocol = request.protocol
+        assert isinstance(protocol, _Protocol)
         self._last_frame_at[transport] = monotonic()
         try:
             await connection.prepare(request)
-            await self._receive(connection, transport)
+            protocol.end_frame()
+            protocol.set_idle()
+            await self._receive(connection, transport, protocol)
         finally:
             del self._last_frame_at[transport]
             transport.abort()
         return connection
 
     async def _receive(
-        self, connection: web.WebSocketResponse, transport: asyncio.Transport
+        self,
+        connection: web.WebSocketResponse,
+        transport: asyncio.Transport,
+        protocol: "_Protocol",
     ) -> None:
         while True:
             message = await connection.receive()
             if message.type is WSMsgType.BINARY:
-                self._last_frame_at[transport] = monotonic()
-                self._deliver(message.data)
+                protocol.end_frame()
+                # A frame of anything else does not keep the connection open.
+                if self._deliver(message.data):
+                    self._last_frame_at[transport] = monotonic()
+                    protocol.set_idle()
             elif message.type is WSMsgType.TEXT:
                 self._refusals.record("malformed", "text message")
                 return
@@ -148,20 +179,41 @@
 
 
 class _Server(web.Server):
-    """Creates the protocol of each connection and counts open connections."""
+    """Creates the protocol of each connection; counts connections and their bytes."""
 
     def __init__(
         self,
         handler: Callable[[web.BaseRequest], Any],
         refusals: RefusalCounter,
+        limits: Limits | None,
     ) -> None:
         super().__init__(handler)
         self.refusals = refusals
-        self.open_connections = 0
+        self.budget: ConnectionBudget[_Protocol] = ConnectionBudget(
+            MAX_CONNECTIONS if limits is None else limits.peers,
+            min_idle_s=REPLACEABLE_IDLE_S,
+        )
+        self.buffered: ByteBudget[_Protocol] = ByteBudget(
+            MAX_BUFFERED_BYTES if limits is None else limits.buffered_bytes
+        )
 
     def __call__(self) -> web.RequestHandler:
         return _Protocol(self)
 
+    def evict(self, protocol: "_Protocol") -> None:
+        """Close a connection that another VM has probably left, for a new one."""
+        self.refusals.record("idle", "closed for another connection")
+        protocol.abort()
+
+    def count_bytes(self, protocol: "_Protocol", count: int) -> None:
+        """Record the incomplete frame of a connection; close the largest ones."""
+        self.buffered.set(protocol, count)
+        if self.buffered.is_exceeded:
+            for largest in self.buffered.find_largest(self.buffered.limit * 3 // 4):
+                self.buffered.set(largest, 0)
+                self.refusals.record("buffered", "too many bytes of incomplete frames")
+                largest.abort()
+
 
 class _Protocol(web.RequestHandler):
     """Protocol of one inbound connection; counts malformed requests."""
@@ -175,16 +227,39 @@
             access_log=None,  # type: ignore[arg-type]
         )
         self._server = server
+        # Bytes received since the last complete frame.
+        self._incomplete_bytes = 0
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        if isinstance(self.transport, asyncio.Transport):
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        self._incomplete_bytes += len(data)
+        if self._incomplete_bytes > SMALL_FRAME_BYTES and self.transport is not None:
+            self._server.count_bytes(self, self._incomplete_bytes)
+
+    def end_frame(self) -> None:
+        """Count the bytes of the next frame from zero."""
+        if self._incomplete_bytes > SMALL_FRAME_BYTES:
+            self._server.count_bytes(self, 0)
+        self._incomplete_bytes = 0
+
+    def set_idle(self) -> None:
+        """Note that a frame of another VM, or its handshake, has just ended."""
+        if self.transport is not None:
+            self._server.budget.set_busy(self)
+            self._server.budget.set_idle(self, monotonic())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        self._server.open_connections += 1
-        if self._server.open_connections > MAX_CONNECTIONS:
-            self._server.refusals.record("too_many_connections", "from a peer")
-            self.force_close()
+        self._server.budget.begin(self, monotonic())
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        self._server.open_connections -= 1
+        self._server.budget.remove(self)
+        self._server.buffered.set(self, 0)
         super().connection_lost(exc)
 
     def handle_error(
--- a/citronwood/inner/rpc.py
+++ b/citronwood/inner/rpc.py
@@ -23,6 +23,7 @@
     PeerSilentError,
     PeerUnavailableError,
 )
+from citronwood.ingress.budget import Limits
 from citronwood.inner.codec import Codec, decode_body, encode_body, encode_envelope
 from citronwood.inner.messages import (
     PROTOCOL_VERSION,
@@ -124,12 +125,19 @@
         """Use this secret for all frames from now on."""
         self._codec.set_secret(secret)
 
-    def start(self, listen_url: str, advertised_url: str | None = None) -> None:
+    def start(
+        self,
+        listen_url: str,
+        advertised_url: str | None = None,
+        limits: Limits | None = None,
+    ) -> None:
         """Listen for messages; other VMs use ``advertised_url`` if it is set.
 
         Port 0 in ``listen_url`` selects a free port.
         """
-        actual = self._transport.listen(listen_url, self._receive)
+        actual = self._transport.listen(
+            listen_url, self._receive, self._metrics, limits
+        )
         self._url = advertised_url or actual
 
     async def close(self) -> None:
--- a/citronwood/inner/transport.py
+++ b/citronwood/inner/transport.py
@@ -16,11 +16,13 @@
 from aiohttp import ClientSession, ClientTimeout, DummyCookieJar, TCPConnector
 
 from citronwood.errors import MessageError, PeerUnavailableError
+from citronwood.ingress.budget import Limits
 from citronwood.inner.codec import Codec
 from citronwood.inner.listener import Listener
 from citronwood.inner.messages import Envelope
 from citronwood.inner.peer import CHECK_INTERVAL_S, Connection, Outgoing, Peer
 from citronwood.inner.refusals import RefusalCounter
+from citronwood.metrics import Metrics
 from citronwood.tasks import cancel_tasks
 
 log = logging.getLogger(__name__)
@@ -55,10 +57,16 @@
             byte_count += peer.sent_bytes
         return frames, messages, byte_count
 
-    def listen(self, url: str, receiver: Receiver) -> str:
+    def listen(
+        self,
+        url: str,
+        receiver: Receiver,
+        metrics: Metrics,
+        limits: Limits | None = None,
+    ) -> str:
         """Listen and return the URL, with the actual port if ``url`` has port 0."""
         self._receiver = receiver
-        self._listener = Listener(self._refusals, self._deliver)
+        self._listener = Listener(self._refusals, self._deliver, metrics, limits)
         return self._listener.start(url)
 
     def send(self, url: str, data: bytes) -> Outgoing:
@@ -132,14 +140,15 @@
                 byte_count + peer.sent_bytes,
             )
 
-    def _deliver(self, frame: bytes) -> None:
+    def _deliver(self, frame: bytes) -> bool:
+        """Pass on the messages of a frame; False if it is not from another VM."""
         self.received_frames += 1
         self.received_bytes += len(frame)
         try:
             envelopes = self._codec.decode_frame(frame)
         except MessageError as error:
             self._refusals.record(*map(str, error.args))
-            return
+            return False
         assert self._receiver is not None
         for envelope in envelopes:
             try:
@@ -147,3 +156,4 @@
             except Exception:
                 # A failing handler must not block the messages after it.
                 log.exception("inner: handler of %s failed", envelope.kind)
+        return True
--- a/citronwood/operator/exposition.py
+++ b/citronwood/operator/exposition.py
@@ -15,6 +15,7 @@
 from prometheus_client.metrics_core import Metric
 from prometheus_client.registry import Collector
 
+from citronwood.ingress.http import LimitedSite
 from citronwood.metrics import BUCKET_BOUNDS_MS, Histogram, Metrics
 
 _INVALID_NAME_CHARS = re.compile(r"[^a-z0-9]+")
@@ -26,6 +27,8 @@
 
     def __init__(self, metrics: Metrics, host: str, port: int) -> None:
         self._address = (host, port)
+        self._metrics = metrics
+        self._site: LimitedSite | None = None
         self._registry = CollectorRegistry(auto_describe=False)
         self._registry.register(_MetricsCollector(metrics))
         self._runner: web.AppRunner | None = None
@@ -41,11 +44,15 @@
         app.add_routes([web.get("/metrics", self._serve_metrics)])
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
         await self._runner.setup()
-        await web.TCPSite(self._runner, *self._address).start()
-        self._address = self._runner.addresses[0][:2]
+        self._site = LimitedSite(
+            self._runner, *self._address, self._metrics, "metrics_port"
+        )
+        self._address = await self._site.start()
 
     async def stop(self) -> None:
         """Stop listening."""
+        if self._site is not None:
+            self._site.close()
         if self._runner is not None:
             await self._runner.cleanup()
 
--- a/citronwood/operator/http.py
+++ b/citronwood/operator/http.py
@@ -23,6 +23,7 @@
 from citronwood.deadline import deadline_in
 from citronwood.errors import PlatformError, PlatformUnavailableError
 from citronwood.fleet.api import Membership
+from citronwood.ingress.http import LimitedSite
 from citronwood.inner.messages import VmState
 from citronwood.metrics import BUCKET_BOUNDS_MS, Histogram, Metrics
 from citronwood.operator.records import Records
@@ -117,6 +118,7 @@
         self._address = (host, port)
         self._ssl = ssl
         self._runner: web.AppRunner | None = None
+        self._site: LimitedSite | None = None
 
     @property
     def url(self) -> str:
@@ -143,12 +145,20 @@
         )
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
         await self._runner.setup()
-        await web.TCPSite(self._runner, *self._address, ssl_context=self._ssl).start()
-        self._address = self._runner.addresses[0][:2]
+        self._site = LimitedSite(
+            self._runner,
+            *self._address,
+            self._sources.metrics,
+            "operator_port",
+            ssl=self._ssl,
+        )
+        self._address = await self._site.start()
         log.info("API listens on %s", self.url)
 
     async def stop(self) -> None:
         """Stop listening."""
+        if self._site is not None:
+            self._site.close()
         if self._runner is not None:
             await self._runner.cleanup()
 
--- a/citronwood/platform/callers.py
+++ b/citronwood/platform/callers.py
@@ -11,8 +11,9 @@
 from citronwood.deadline import deadline_in
 from citronwood.decisions import current_request, log_request, log_state
 from citronwood.errors import MessageError
-from citronwood.ingress.acceptor import Acceptor, bind
+from citronwood.ingress.acceptor import Acceptor, listen
 from citronwood.ingress.budget import Limits, derive_limits
+from citronwood.ingress.http import LimitedSite
 from citronwood.ingress.stream import CallerStream, Ingress, StatementsCrowdedError
 from citronwood.metrics import Metrics
 from citronwood.platform.nodefile import Address
@@ -101,8 +102,10 @@
     async def start(self) -> None:
         """Listen for callers."""
         self._ingress.start()
-        self._server = Acceptor(
-            bind(self._address.host, self._address.port, LISTEN_BACKLOG),
+        self._server = await listen(
+            self._address.host,
+            self._address.port,
+            LISTEN_BACKLOG,
             lambda: CallerStream(self._ingress, self._serve, MAX_MESSAGE_BYTES),
             self._ingress.connections,
             self._ingress.evict,
@@ -419,8 +422,12 @@
 class ReadinessServer:
     """Tells the platform whether this VM accepts new connections."""
 
-    def __init__(self, is_ready: Callable[[], bool], address: Address) -> None:
+    def __init__(
+        self, is_ready: Callable[[], bool], address: Address, metrics: Metrics
+    ) -> None:
         self._is_ready = is_ready
+        self._metrics = metrics
+        self._site: LimitedSite | None = None
         self._address = address
         self._runner: web.AppRunner | None = None
         self._was_ready: bool | None = None
@@ -431,11 +438,19 @@
         application.router.add_get(READY_PATH, self._handle_check)
         self._runner = web.AppRunner(application, access_log=None)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self._address.host, self._address.port)
-        await site.start()
+        self._site = LimitedSite(
+            self._runner,
+            self._address.host,
+            self._address.port,
+            self._metrics,
+            "readiness",
+        )
+        await self._site.start()
 
     async def close(self) -> None:
         """Stop listening."""
+        if self._site is not None:
+            self._site.close()
         if self._runner is not None:
             await self._runner.cleanup()
 
--- a/citronwood/platform/process.py
+++ b/citronwood/platform/process.py
@@ -79,6 +79,7 @@
     loop.add_signal_handler(signal.SIGHUP, _reload, path)
     log_state(log, "process", "started", f"entry: {settings.name} starts")
     metrics = Metrics()
+    limits = derive_limits(settings.memory_mb, settings.max_descriptors)
     store_address = f"{settings.store.host}:{settings.store.port}"
     async with HttpObjectStore(store_address, metrics) as store:
         node = RelayNode(
@@ -92,6 +93,7 @@
                 schedules_statements=PRIORITY_CONTRACT in settings.contracts,
                 balances_reads=BALANCE_CONTRACT in settings.contracts,
                 evacuation_s=settings.evacuation_s,
+                limits=limits,
             ),
             store,
             FEED_KINDS,
@@ -100,9 +102,10 @@
             metrics,
         )
         readiness = ReadinessServer(
-            lambda: node.is_ready and not stopping.is_set(), settings.readiness
+            lambda: node.is_ready and not stopping.is_set(),
+            settings.readiness,
+            metrics,
         )
-        limits = derive_limits(settings.memory_mb, settings.max_descriptors)
         callers = CallerListener(node, settings.callers, metrics, limits)
         await callers.start()
         await readiness.start()
--- a/citronwood/relay/node.py
+++ b/citronwood/relay/node.py
@@ -11,6 +11,7 @@
 from citronwood.errors import (
     MessageError,
 )
+from citronwood.ingress.budget import Limits
 from citronwood.inner.rpc import Caller, Rpc
 from citronwood.metrics import Metrics
 from citronwood.platform.api import Listing, ObjectStore
@@ -90,6 +91,7 @@
     its owner. With ``balances_reads``, reads go to the server of a group that is
     expected to run them first. ``evacuation_s`` is the time after which nothing is sent
     to servers of an evacuated failure domain any more; None without evacuations.
+    ``limits`` apply to the listener for other VMs.
     """
 
     name: str
@@ -101,6 +103,7 @@
     schedules_statements: bool = False
     balances_reads: bool = False
     evacuation_s: float | None = None
+    limits: Limits | None = None
 
 
 class FeedKinds(NamedTuple):
@@ -310,7 +313,7 @@
         self._feeds.start(rpc)
         self._leases.start(rpc)
         self._forwarding.start(rpc)
-        rpc.start(self._url)
+        rpc.start(self._url, limits=self._options.limits)
         self._rpc = rpc
         self._failover = Failover(
             self._options.name,
--- a/citronwood/simulation/network.py
+++ b/citronwood/simulation/network.py
@@ -368,11 +368,22 @@
         self._received.append(data)
         self._deliver_received()
 
+    def _hand_over(self, data: bytes) -> None:
+        if not isinstance(self._protocol, asyncio.BufferedProtocol):
+            self._protocol.data_received(data)
+            return
+        while data:
+            view = memoryview(self._protocol.get_buffer(len(data)))
+            count = min(len(view), len(data))
+            view[:count] = data[:count]
+            self._protocol.buffer_updated(count)
+            data = data[count:]
+
     def _deliver_received(self) -> None:
         while self._received and self._is_reading and self._protocol is not None:
             data = self._received.pop(0)
             if data is not None:
-                self._protocol.data_received(data)
+                self._hand_over(data)
             elif not self._protocol.eof_received():
                 self.close()
 
@@ -396,6 +407,11 @@
         self._address = address
         self.sockets = (_SocketName(address),)
 
+    @property
+    def address(self) -> Address:
+        """Address of the listener."""
+        return self._address
+
     def close(self) -> None:
         """Refuse further connections."""
         self._network.stop_listening(self._address)
--- a/citronwood/simulation/substitutes.py
+++ b/citronwood/simulation/substitutes.py
@@ -4,15 +4,17 @@
 simulation runs, the names stand for the simulated ones.
 """
 
+import asyncio
 import random
 import socket
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from types import ModuleType, SimpleNamespace
 from typing import Any
 
+from citronwood.ingress.acceptor import accept_peers, listen
 from citronwood.simulation.loop import SimulatedLoop
 from citronwood.simulation.machine import current_machine
 
@@ -80,6 +82,36 @@
     return _ListeningSocket(address)
 
 
+async def _accept_peers(
+    listening: Any, make_protocol: Callable[[], Any], budget: Any, *_: Any
+) -> Any:
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(_counted(make_protocol, budget), sock=listening)
+
+
+async def _listen(
+    host: str,
+    port: int,
+    _backlog: int,
+    make_protocol: Callable[[], Any],
+    budget: Any,
+    *_: Any,
+    **__: Any,
+) -> Any:
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(_counted(make_protocol, budget), host, port)
+
+
+def _counted(make_protocol: Callable[[], Any], budget: Any) -> Callable[[], Any]:
+    """Count connections, all of which are accepted in the simulated network."""
+
+    def make_counted_protocol() -> Any:
+        budget.open += 1
+        return make_protocol()
+
+    return make_counted_protocol
+
+
 @contextmanager
 def substituted(loop: SimulatedLoop, seed: int) -> Iterator[None]:
     """Replace clocks, random numbers and listening sockets in the loaded modules."""
@@ -95,6 +127,8 @@
     substitutes: dict[Any, Any] = {
         time.monotonic: clocks.monotonic,
         time.clock_gettime: clocks.clock_gettime,
+        accept_peers: _accept_peers,
+        listen: _listen,
     }
     modules: dict[ModuleType, Any] = {
         time: SimpleNamespace(time=clocks.time, time_ns=clocks.time_ns),
