--- a/citronwood/cli/entry.py
+++ b/citronwood/cli/entry.py
@@ -12,6 +12,7 @@
 from citronwood.cli.settings import load_command_settings, settings_options
 from citronwood.config.store import URGENT_CALLS
 from citronwood.fleet.node import Node, NodeOptions, NodeService
+from citronwood.ingress.budget import ENTRY_BASE_MB, derive_limits
 from citronwood.logs import configure_logs
 from citronwood.metrics import Metrics
 from citronwood.platform.budget import CallBudget
@@ -122,4 +123,7 @@
         operator_host=settings.operator_host,
         operator_port=settings.operator_port,
         operator_token=settings.operator_token.get_secret_value(),
+        limits=derive_limits(
+            settings.memory_mb, settings.max_descriptors, ENTRY_BASE_MB
+        ),
     )
--- a/citronwood/fleet/node.py
+++ b/citronwood/fleet/node.py
@@ -22,6 +22,7 @@
 from citronwood.fleet.membership import FleetMembership
 from citronwood.fleet.reports import FleetReports
 from citronwood.fleet.routing import GroupRouter
+from citronwood.ingress.budget import Limits
 from citronwood.inner.messages import Heartbeat, VmState
 from citronwood.inner.rpc import Caller, Rpc
 from citronwood.limits.limiter import FleetLimiter
@@ -52,7 +53,7 @@
     under which they reach this VM, if it differs. ``seeds`` are addresses of VMs to
     contact at the start. ``drain_s`` is the time that open transactions have to finish
     at a planned stop. Without ``operator_port`` there is no operator API, without
-    ``metrics_port`` metrics are not served.
+    ``metrics_port`` metrics are not served. ``limits`` apply to callers and other VMs.
     """
 
     name: str
@@ -71,6 +72,7 @@
     operator_token: str = ""
     metrics_host: str = "127.0.0.1"
     metrics_port: int | None = None
+    limits: Limits | None = None
 
 
 class Node:
@@ -102,7 +104,7 @@
     async def start(self) -> None:
         """Start all services; callers are accepted last."""
         options = self.options
-        self.rpc.start(options.inner_url, options.advertised_url)
+        self.rpc.start(options.inner_url, options.advertised_url, options.limits)
         self._create_membership()
         self._create_request_services()
         self.membership.start()
@@ -198,6 +200,8 @@
         self.mysql = MysqlService(
             lambda _: CallerSession(services),
             ssl=self.options.ssl,
+            limits=self.options.limits,
+            metrics=self.metrics,
             address=self.options.host,
             port=self.options.port,
         )
--- a/citronwood/ingress/budget.py
+++ b/citronwood/ingress/budget.py
@@ -23,7 +23,7 @@
 DEFAULT_MEMORY_MB = 512.0
 # Of the memory beyond the base, the share that callers may use. The rest is for answers
 # of servers, whose size is not known in advance, and for fragmentation.
-CALLERS_MEMORY_SHARE = 0.5
+CALLERS_MEMORY_SHARE = 0.75
 # Below this, one message of 1 MiB could not be handled beside others.
 MIN_CALLERS_BYTES = 16 * MIB
 # Stream, task and session of an idle connection, and its small buffers.
--- a/citronwood/mysql/connection.py
+++ b/citronwood/mysql/connection.py
@@ -25,6 +25,7 @@
 from citronwood.errors import ErrorCode
 from citronwood.mysql.codes import MysqlCode
 from citronwood.mysql.handler import Handler
+from citronwood.mysql.ingress import ClientProtocol
 from citronwood.mysql.packets import (
     MAX_PACKET_BYTES,
     LimitedReader,
@@ -64,8 +65,10 @@
         handler: Handler,
         connection_id: int,
         ssl: SSLContext | None,
+        client: ClientProtocol | None = None,
     ) -> None:
         super().__init__(stream, handler, ssl)
+        self._client = client
         self.connection_id = connection_id
         self._reader: Any = stream.reader
         self._idle = False
@@ -89,6 +92,8 @@
         if isinstance(self._reader, LimitedReader):
             self._reader.limit = MAX_PACKET_BYTES
         self._logged_in = True
+        if self._client is not None:
+            self._client.set_busy()
         try:
             await self.command_phase()
         finally:
@@ -216,6 +221,8 @@
         The end is COM_QUIT, a disconnect or an invalid packet.
         """
         self._idle = True
+        if self._client is not None and not self._handler.in_transaction:
+            self._client.set_idle()
         self._schedule_transaction_check(monotonic())
         try:
             data: bytes = await self.stream.read()
@@ -233,6 +240,8 @@
             return None
         finally:
             self._idle = False
+            if self._client is not None:
+                self._client.set_busy()
             if self._transaction_timer is not None:
                 self._transaction_timer.cancel()
                 self._transaction_timer = None
--- a/citronwood/mysql/packets.py
+++ b/citronwood/mysql/packets.py
@@ -12,6 +12,11 @@
 
 from citronwood.errors import ErrorCode
 from citronwood.mysql.codes import MysqlCode
+from citronwood.mysql.ingress import (
+    PACKET_TIMEOUT_S,
+    SMALL_PACKET_BYTES,
+    ClientProtocol,
+)
 
 MAX_PACKET_BYTES = 1 << 20
 MAX_LOGIN_BYTES = 1 << 16
@@ -39,15 +44,22 @@
     the four bytes of a packet header, then ``readexactly`` for the payload.
     """
 
-    __slots__ = ("limit", "reader")
+    __slots__ = ("_client", "_has_reserved", "limit", "reader")
 
-    def __init__(self, reader: asyncio.StreamReader) -> None:
+    def __init__(
+        self, reader: asyncio.StreamReader, client: ClientProtocol | None = None
+    ) -> None:
         self.reader = reader
+        self._client = client
+        self._has_reserved = False
         # Raised to MAX_PACKET_BYTES after the login.
         self.limit = MAX_LOGIN_BYTES
 
     async def read(self, count: int) -> bytes:
         """Return a packet header, empty if the client has disconnected."""
+        if self._has_reserved and self._client is not None:
+            self._has_reserved = False
+            self._client.release()
         try:
             header = await self.reader.readexactly(count)
         except asyncio.IncompleteReadError:
@@ -60,7 +72,18 @@
 
     def readexactly(self, count: int) -> Awaitable[bytes]:
         """Return the payload of a packet."""
-        return self.reader.readexactly(count)
+        if self._client is None or count <= SMALL_PACKET_BYTES:
+            return self.reader.readexactly(count)
+        return self._read_long(self._client, count)
+
+    async def _read_long(self, client: ClientProtocol, count: int) -> bytes:
+        """Read a payload for which memory is reserved, until the next header."""
+        self._has_reserved = True
+        await client.reserve(count)
+        async with asyncio.timeout(PACKET_TIMEOUT_S):
+            payload = await self.reader.readexactly(count)
+        client.end_packet()
+        return payload
 
     async def _discard(self, header: bytes) -> int:
         """Skip a packet and its continuations; return the last sequence number."""
--- a/citronwood/mysql/server.py
+++ b/citronwood/mysql/server.py
@@ -11,8 +11,12 @@
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
 
 from citronwood.deadline import deadline_in, time_left
+from citronwood.ingress.acceptor import Acceptor, limit_kernel_buffers
+from citronwood.ingress.budget import Limits, derive_limits
+from citronwood.metrics import Metrics
 from citronwood.mysql.connection import LOGIN_TIMEOUT_S, ServerConnection
 from citronwood.mysql.handler import Handler, KeyedHandler, StatementResult
+from citronwood.mysql.ingress import ClientLimits, ClientProtocol
 from citronwood.mysql.packets import MAX_PACKET_BYTES, LimitedReader
 from citronwood.mysql.responses import BATCH_BYTES
 
@@ -44,9 +48,12 @@
         self,
         make_handler: Callable[[int], Handler],
         ssl: SSLContext | None = None,
+        limits: Limits | None = None,
+        metrics: Metrics | None = None,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
+        self._limits = ClientLimits(limits or derive_limits(), metrics or Metrics())
         self._make_handler = make_handler
         self._ssl = ssl
         self._last_connection_id = 0
@@ -59,10 +66,17 @@
         return len(self._connections)
 
     async def start(self) -> None:
-        """Listen with a larger backlog than the library, whose method uses 100."""
+        """Listen with a larger backlog than the library, and with limits."""
         self.socket = self.make_socket()
-        self.server = await asyncio.start_server(
-            self.make_client_handler, sock=self.socket, backlog=BACKLOG
+        self.socket.listen(BACKLOG)
+        limit_kernel_buffers(self.socket)
+        self.server = Acceptor(
+            self.socket,
+            lambda: ClientProtocol(self._limits, self.make_client_handler),
+            self._limits.connections,
+            self._limits.evict,
+            self._limits.metrics,
+            "callers",
         )
 
     async def drain(self, deadline: float) -> None:
@@ -92,11 +106,14 @@
         """Serve one client until it disconnects."""
         self._last_connection_id += 1
         connection_id = self._last_connection_id
+        client = writer.transport.get_protocol()
+        assert isinstance(client, ClientProtocol)
         connection = ServerConnection(
-            MysqlStream(LimitedReader(reader), writer),
+            MysqlStream(LimitedReader(reader, client), writer),
             self._make_handler(connection_id),
             connection_id,
             self._ssl,
+            client,
         )
         task = asyncio.current_task()
         assert task is not None
