--- a/citronwood/cli/node.py
+++ b/citronwood/cli/node.py
@@ -5,6 +5,7 @@
 from cleo.io.outputs.output import Type
 
 from citronwood.errors import SettingsError
+from citronwood.ingress.budget import derive_limits, find_misfits
 from citronwood.platform.nodefile import load_settings
 from citronwood.platform.process import EXIT_CODE_INVALID, main, settings_path
 
@@ -29,4 +30,9 @@
             return EXIT_CODE_INVALID
         for name, value in settings._asdict().items():
             self.io.write_line(f"{name} = {value}", type=Type.RAW)
+        limits = derive_limits(settings.memory_mb, settings.max_descriptors)
+        for name, value in limits._asdict().items():
+            self.io.write_line(f"limits.{name} = {value}", type=Type.RAW)
+        for warning in find_misfits(settings.memory_mb, settings.max_descriptors):
+            self.io.write_error_line(f"warning: {path}: {warning}", type=Type.RAW)
         return 0
--- a/citronwood/cli/settings.py
+++ b/citronwood/cli/settings.py
@@ -8,6 +8,7 @@
 from cleo.io.outputs.output import Type
 
 from citronwood.errors import SettingsError
+from citronwood.ingress.budget import ENTRY_BASE_MB, find_misfits
 from citronwood.settings import (
     EXIT_CODE_INVALID,
     LoadedSettings,
@@ -59,6 +60,11 @@
         if loaded is None:
             return EXIT_CODE_INVALID
         rows = describe_settings(loaded)
+        settings = loaded.settings
+        for warning in find_misfits(
+            settings.memory_mb, settings.max_descriptors, ENTRY_BASE_MB
+        ):
+            self.io.write_error_line(f"warning: {warning}", type=Type.RAW)
         if self.option("json"):
             document = {n: {"value": v, "source": s} for n, v, s in rows}
             self.io.write_line(json.dumps(document, indent=2), type=Type.RAW)
--- a/citronwood/ingress/budget.py
+++ b/citronwood/ingress/budget.py
@@ -187,13 +187,17 @@
         self._idle[key] = now
 
     def set_busy(self, key: K) -> None:
-        """Take a connection off the lists."""
+        """Take a connection off the list of idle ones."""
         self._idle.pop(key, None)
+
+    def set_started(self, key: K) -> None:
+        """Take a connection off the list of those without a first message."""
         self._unstarted.pop(key, None)
 
     def remove(self, key: K) -> None:
         """Stop counting a connection that has ended."""
-        self.set_busy(key)
+        self._idle.pop(key, None)
+        self._unstarted.pop(key, None)
         self.open -= 1
 
 
--- a/citronwood/ingress/stream.py
+++ b/citronwood/ingress/stream.py
@@ -71,6 +71,8 @@
         view = memoryview(bytearray(READ_BYTES))
         # Shared by all connections: it is filled and read within one event.
         self.memory, self._small_view = view, view[:SMALL_BYTES]
+        # Part of ``memory`` for the next read.
+        self.view = view
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -82,11 +84,6 @@
         if self._task is not None:
             self._task.cancel()
 
-    @property
-    def view(self) -> memoryview:
-        """Part of ``memory`` for the next read."""
-        return self._small_view if self.buffered.is_exceeded else self.memory
-
     def pause(self, stream: "CallerStream") -> None:
         """Note that a connection is not read because of the limit for all."""
         self._paused.add(stream)
@@ -94,6 +91,7 @@
     def update_buffered(self, stream: "CallerStream", count: int) -> None:
         """Record the received bytes of a connection; go on reading if there is room."""
         self.buffered.set(stream, count)
+        self.view = self._small_view if self.buffered.is_exceeded else self.memory
         if self._paused and self.buffered.has_room:
             self._resume_paused()
 
@@ -214,6 +212,7 @@
         self._is_discarding = False
         self._is_counted = False
         self._is_handling = False
+        self._has_deadline = False
 
     # Interface of protocols.
 
@@ -245,11 +244,12 @@
             return
         buffer = self._buffer
         buffer.feed(self._ingress.memory[:nbytes])
-        if self._reading is not None:
-            if buffer.is_ready:
-                _wake(self._reading)
-            else:
+        reading = self._reading
+        if reading is not None:
+            if buffer.first_size < 0 and not buffer.is_oversized:
                 self._begin_message()
+            elif not reading.done():
+                reading.set_result(None)
         if len(buffer) > SMALL_BYTES or self._is_counted:
             self._count_buffered()
 
@@ -293,6 +293,10 @@
         """Allow that the connection is closed for a new one."""
         self._ingress.connections.set_idle(self, now)
 
+    def set_started(self) -> None:
+        """Note that the first message has arrived."""
+        self._ingress.connections.set_started(self)
+
     def set_busy(self) -> None:
         """Forbid that the connection is closed for a new one."""
         self._ingress.connections.set_busy(self)
@@ -307,7 +311,7 @@
             self._is_handling = False
             self._ingress.release_handled(self)
         buffer = self._buffer
-        while not buffer.is_ready:
+        while buffer.first_size < 0 and not buffer.is_oversized:
             if self._error is not None:
                 raise ConnectionResetError("the connection of the caller is lost")
             if self._ended:
@@ -317,8 +321,10 @@
             raise ConnectionResetError("the connection of the caller is lost")
         if self._lost.done():
             return None
-        self._ingress.message_deadlines.pop(self, None)
-        size = buffer.first_size or 0
+        if self._has_deadline:
+            self._has_deadline = False
+            self._ingress.message_deadlines.pop(self, None)
+        size = buffer.first_size
         if size <= SMALL_BYTES and not self._is_counted:
             return buffer.take()
         return await self._take_counted(size)
@@ -395,9 +401,9 @@
 
     def _begin_message(self) -> None:
         """Store the deadline of a message whose first bytes have arrived."""
-        deadlines = self._ingress.message_deadlines
-        if self not in deadlines:
-            deadlines[self] = monotonic() + MESSAGE_TIMEOUT_S
+        if not self._has_deadline:
+            self._has_deadline = True
+            self._ingress.message_deadlines[self] = monotonic() + MESSAGE_TIMEOUT_S
 
     def _count_buffered(self) -> None:
         ingress, count = self._ingress, len(self._buffer)
--- a/citronwood/inner/listener.py
+++ b/citronwood/inner/listener.py
@@ -116,6 +116,8 @@
     async def _close_idle_connections(self) -> None:
         while True:
             await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
+            self._metrics.gauge("inner.connections", self._server.budget.open)
+            self._metrics.gauge("inner.incomplete_bytes", self._server.buffered.total)
             cutoff = monotonic() - INBOUND_IDLE_TIMEOUT_S
             for transport, last_frame_at in list(self._last_frame_at.items()):
                 if last_frame_at < cutoff:
@@ -250,6 +252,7 @@
     def set_idle(self) -> None:
         """Note that a frame of another VM, or its handshake, has just ended."""
         if self.transport is not None:
+            self._server.budget.set_started(self)
             self._server.budget.set_busy(self)
             self._server.budget.set_idle(self, monotonic())
 
--- a/citronwood/mysql/connection.py
+++ b/citronwood/mysql/connection.py
@@ -93,7 +93,7 @@
             self._reader.limit = MAX_PACKET_BYTES
         self._logged_in = True
         if self._client is not None:
-            self._client.set_busy()
+            self._client.set_started()
         try:
             await self.command_phase()
         finally:
@@ -263,6 +263,8 @@
             self._release_task = asyncio.create_task(
                 self._keyed_handler.release_transaction()
             )
+            if self._client is not None and self._idle:
+                self._client.set_idle()
         self._schedule_transaction_check(idle_since)
 
     async def _handle_command(self, data: bytes) -> None:
--- a/citronwood/mysql/ingress.py
+++ b/citronwood/mysql/ingress.py
@@ -55,6 +55,11 @@
         """Close an idle connection for a new one."""
         self.close(client, "idle")
 
+    def report(self) -> None:
+        """Set the gauges of what is in use."""
+        self.metrics.gauge("callers.connections", self.connections.open)
+        self.metrics.gauge("callers.handled_bytes", self.packets.total)
+
     def release(self, client: "ClientProtocol") -> None:
         """Free the memory of a packet; admit those that wait for it."""
         self.receiving.pop(client, None)
@@ -85,6 +90,7 @@
         """List the connection."""
         if self._own_transport is None:
             self._limits.connections.begin(self, monotonic())
+            self._limits.report()
         self._own_transport = transport
         super().connection_made(transport)
 
@@ -94,6 +100,7 @@
             self._is_lost = True
             self._limits.connections.remove(self)
             self._limits.release(self)
+            self._limits.report()
             self.on_admitted()
         super().connection_lost(exc)
 
@@ -109,6 +116,10 @@
         if not self._is_lost:
             self._limits.connections.set_idle(self, monotonic())
 
+    def set_started(self) -> None:
+        """Note that the client has logged in."""
+        self._limits.connections.set_started(self)
+
     def set_busy(self) -> None:
         """Forbid that the connection is closed for a new one."""
         self._limits.connections.set_busy(self)
--- a/citronwood/platform/callers.py
+++ b/citronwood/platform/callers.py
@@ -248,7 +248,7 @@
             return None
         if line is None:
             return None
-        self._stream.set_busy()
+        self._stream.set_started()
         failure: Failure | None
         try:
             start = parse_start(line)
@@ -322,7 +322,8 @@
         """Serve the next statement; False at the end of the session."""
         self._busy = False
         self._answered_at = monotonic()
-        if session.state is TransactionState.IDLE:
+        # An aborted transaction has nothing to lose either.
+        if session.state is not TransactionState.OPEN:
             self._stream.set_idle(self._answered_at)
         try:
             line = await self._read_message(session)
@@ -403,6 +404,7 @@
             )
             if not completed:
                 session.abort_transaction()
+                self._stream.set_idle(monotonic())
             return await reading
         finally:
             reading.cancel()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -135,6 +135,10 @@
     assert code == 0
     assert "vm_name = vm2  (flag --vm-name)" in out
     assert REQUIRED["fleet_secret"] not in out
+    flags = "--vm-name vm2 --memory-mb 100 --max-descriptors 600"
+    code, _, errors = command.run_sync(f"check-settings {flags}")
+    assert code == 0
+    assert "memory of 100 MB" in errors
 
 
 def test_node_checks_the_settings_file_of_the_platform(
@@ -146,6 +150,13 @@
     code, out, _ = command.run_sync("node --check")
     assert code == 0
     assert "failure_domain = z1" in out
+    assert "limits.connections = " in out
+    path.write_text(SETTINGS + "limits.memory_mb=90\nlimits.max_fds=600\n")
+    code, out, errors = command.run_sync("node --check")
+    assert code == 0
+    assert "limits.connections = 240" in out
+    assert "memory of 90 MB" in errors
+    assert "240 connections" in errors
     path.write_text(SETTINGS.replace("node=", "nodes=").replace("zone=", "zones="))
     code, _, errors = command.run_sync("node --check")
     assert code == 2
--- a/tests/test_relay_callers.py
+++ b/tests/test_relay_callers.py
@@ -3,11 +3,13 @@
 import asyncio
 import socket
 import struct
+from contextlib import suppress
 
 import pytest
 import uvloop
 
 from citronwood.deadline import timeout_at
+from citronwood.ingress.budget import derive_limits
 from citronwood.metrics import Metrics
 from citronwood.platform import callers as callers_module
 from citronwood.platform.callers import FLEET_LEAVE_RESERVE_S, CallerListener
@@ -140,6 +142,45 @@
     asyncio.run(scenario())
 
 
+def test_transaction_that_was_aborted_while_idle_makes_room_for_a_caller():
+    # Guards against callers that hold all connections with transactions that were
+    # aborted at their idle timeout.
+    async def scenario():
+        session = WaitingSession()
+        session.state = TransactionState.OPEN
+        node = Node(session)
+        node.rules = node.rules._replace(transaction_idle_s=0.05)
+        port = reserve_port()
+        limits = derive_limits()._replace(connections=1)
+        metrics = Metrics()
+        listener = CallerListener(node, Address("127.0.0.1", port), metrics, limits)
+        await listener.start()
+        first = await open_session(port)
+        await eventually(lambda: session.aborted)
+        second = None
+        # A connection that has not been idle for long is not closed for another.
+        while second is None:
+            await asyncio.sleep(0.1)
+            second = await open_session(port)
+        assert metrics.counters["callers.closed.idle"] == 1
+        first.close()
+        second.close()
+        await listener.stop(0.0)
+
+    asyncio.run(scenario())
+
+
+async def open_session(port):
+    """Return the writer of a new session; None if it is refused."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"START shop key\r\n")
+    with suppress(ConnectionResetError):
+        if (await reader.readline()).startswith(b"READY"):
+            return writer
+    writer.close()
+    return None
+
+
 async def send_without_pause(port, answers):
     """Send each statement right after the answer to the last one, until a refusal.
 
