--- a/citronwood/ingress/stream.py
+++ b/citronwood/ingress/stream.py
@@ -35,6 +35,8 @@
 UNSENT_BYTES = 64 * 1024
 # Bytes of one read; fewer while the budget is exceeded.
 READ_BYTES = 32 * 1024
+# Pipelined messages that are handled before other connections have their turn.
+TURN_MESSAGES = 16
 # A message of 1 MiB takes less over the slowest link that callers may use.
 MESSAGE_TIMEOUT_S = 30.0
 ANSWER_TIMEOUT_S = 30.0
@@ -213,6 +215,7 @@
         self._is_counted = False
         self._is_handling = False
         self._has_deadline = False
+        self._messages_in_turn = 0
 
     # Interface of protocols.
 
@@ -311,6 +314,11 @@
             self._is_handling = False
             self._ingress.release_handled(self)
         buffer = self._buffer
+        self._messages_in_turn += 1
+        if self._messages_in_turn > TURN_MESSAGES:
+            # Nothing else would run while messages that wait for nothing are handled.
+            self._messages_in_turn = 0
+            await asyncio.sleep(0)
         while buffer.first_size < 0 and not buffer.is_oversized:
             if self._error is not None:
                 raise ConnectionResetError("the connection of the caller is lost")
@@ -398,6 +406,7 @@
             await self._reading
         finally:
             self._reading = None
+            self._messages_in_turn = 0
 
     def _begin_message(self) -> None:
         """Store the deadline of a message whose first bytes have arrived."""
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -32,6 +32,7 @@
 from citronwood.ingress.stream import (
     ANSWER_TIMEOUT_S,
     MESSAGE_TIMEOUT_S,
+    TURN_MESSAGES,
     CallerStream,
     Ingress,
 )
@@ -217,6 +218,7 @@
         self.metrics = Metrics()
         self.ingress = Ingress(defaults._replace(**limits), self.metrics)
         self.streams = []
+        self.messages = 0
         self.answer = b"ok\r\n"
 
     async def __aenter__(self):
@@ -233,6 +235,7 @@
         self.streams.append(stream)
         try:
             while await stream.read_message() is not None:
+                self.messages += 1
                 stream.write(self.answer)
                 await stream.drain()
         except OSError:
@@ -326,3 +329,21 @@
             assert not ingress.answer_deadlines
 
     run(scenario())
+
+
+def test_pipelined_messages_do_not_hold_up_other_connections(run):
+    # Guards against a process that does nothing else while it handles 20,000 messages
+    # of one caller which need no server.
+    async def scenario():
+        async with Crowd() as crowd:
+            crowd.answer = b""
+            _, writer = await crowd.connect(b"\r\n" * 20_000)
+            most = 0
+            while crowd.messages < 20_000:
+                before = crowd.messages
+                await asyncio.sleep(0)
+                most = max(most, crowd.messages - before)
+            assert most <= 10 * TURN_MESSAGES
+            writer.close()
+
+    run(scenario())
