--- a/citronwood/platform/process.py
+++ b/citronwood/platform/process.py
@@ -13,6 +13,7 @@
 from citronwood.deadline import deadline_in
 from citronwood.decisions import log_state
 from citronwood.errors import SettingsError
+from citronwood.ingress.budget import derive_limits
 from citronwood.logs import configure_logs
 from citronwood.metrics import Metrics
 from citronwood.operator.exposition import MetricsServer
@@ -87,6 +88,7 @@
     loop.add_signal_handler(signal.SIGHUP, _reload, path)
     log_state(log, "process", "started", f"entry: {settings.name} starts")
     metrics = Metrics()
+    limits = derive_limits(settings.memory_mb, settings.max_descriptors)
     store_address = f"{settings.store.host}:{settings.store.port}"
     async with HttpObjectStore(store_address, metrics) as store:
         node = RelayNode(
@@ -100,6 +102,7 @@
                 schedules_statements=PRIORITY_CONTRACT in settings.contracts,
                 balances_reads=BALANCE_CONTRACT in settings.contracts,
                 evacuation_s=settings.evacuation_s,
+                limits=limits,
             ),
             store,
             FEED_KINDS,
@@ -108,9 +111,11 @@
             metrics,
         )
         readiness = ReadinessServer(
-            lambda: node.is_ready and not stopping.is_set(), settings.readiness
+            lambda: node.is_ready and not stopping.is_set(),
+            settings.readiness,
+            metrics,
         )
-        callers = CallerListener(node, settings.callers, metrics)
+        callers = CallerListener(node, settings.callers, metrics, limits)
         await callers.start()
         await readiness.start()
         await node.start()
