--- a/citronwood/inner/peer.py
+++ b/citronwood/inner/peer.py
@@ -36,7 +36,11 @@
 MAX_QUEUED_BYTES = 8 * MAX_MESSAGE_BYTES
 # Well below the maximum message size, so that a large frame does not delay small ones.
 BATCH_BYTES = 128 * 1024
-DIAL_TIMEOUT_S = 1.0
+# An attempt to connect ends after the first time, which doubles with each attempt that
+# times out up to the second. The opening packet to a VM without power is lost and only
+# sent again after a second, when the VM has long been back.
+FIRST_DIAL_TIMEOUT_S = 0.25
+MAX_DIAL_TIMEOUT_S = 1.0
 # A connection on which the peer accepts nothing for this long is replaced.
 STALL_TIMEOUT_S = 1.0
 # Shortest time between a connection attempt and a requested reconnect, so that many
@@ -140,6 +144,7 @@
         self._wakeup: asyncio.Future[None] | None = None
         self._connection: Connection | None = None
         self._last_dial_at = 0.0
+        self._dial_timeout_s = FIRST_DIAL_TIMEOUT_S
         self._unreachable_since: float | None = None
         self._idle_since = monotonic()
         self.sent_frames = 0
@@ -217,13 +222,16 @@
             return
         self._last_dial_at = monotonic()
         try:
-            async with asyncio.timeout(DIAL_TIMEOUT_S):
+            async with asyncio.timeout(self._dial_timeout_s):
                 self._connection = await self._connect()
         except InvalidURL:
             raise
         except (ClientError, OSError) as error:
+            if isinstance(error, TimeoutError):
+                self._dial_timeout_s = min(MAX_DIAL_TIMEOUT_S, 2 * self._dial_timeout_s)
             self._handle_dial_failure(error)
         else:
+            self._dial_timeout_s = FIRST_DIAL_TIMEOUT_S
             self._unreachable_since = None
 
     async def _connect(self) -> Connection:
--- a/tests/test_inner_transport.py
+++ b/tests/test_inner_transport.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 import aiohttp
+import msgspec
 import pytest
 
 from citronwood.deadline import deadline_in
@@ -16,9 +17,11 @@
     PeerUnavailableError,
 )
 from citronwood.inner import listener, peer
+from citronwood.inner.codec import Codec
 from citronwood.inner.messages import MAX_MESSAGE_BYTES
 from tests.faults import FaultProxy
 from tests.fleet_helpers import eventually, make_rpc, rpcs, run
+from tests.virtual_time import run_virtually
 
 
 class Question(NamedTuple):
@@ -214,7 +217,7 @@
 
 def test_handshake_without_a_response_times_out(monkeypatch):
     # Guards against waiting forever for a handshake while a new connection would work.
-    monkeypatch.setattr(peer, "DIAL_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(peer, "MAX_DIAL_TIMEOUT_S", 0.2)
 
     async def scenario():
         async with proxied() as (a, b, proxy):
@@ -486,3 +489,44 @@
         await restarted.close()
 
     run(scenario())
+
+
+@pytest.mark.parametrize("lost, sent_within_s", [(1, 0.5), (2, 1.1)])
+def test_lost_opening_packet_delays_a_message_by_less_than_its_repetition(
+    lost, sent_within_s
+):
+    # Guards against a second without a grantor after a loss of all power: connections
+    # to the leader that were opened before it had power again were tried for 1 s, and
+    # the accounts of those VMs were refused meanwhile.
+    sent = []
+
+    async def scenario(loop):
+        written = asyncio.Event()
+
+        class Connected:
+            is_open = True
+
+            async def write(self, frame):
+                sent.append(loop.time())
+                written.set()
+
+            def close_after_flush(self):
+                pass
+
+        attempts = []
+
+        async def connect():
+            attempts.append(loop.time())
+            if len(attempts) <= lost:
+                await asyncio.sleep(3600)
+            return Connected()
+
+        sender = peer.Peer("tcp://10.0.0.1:1", Codec(b"secret"), None)
+        sender._connect = connect
+        task = asyncio.create_task(sender.run())
+        sender.enqueue(peer.Outgoing(msgspec.msgpack.encode("message")))
+        await written.wait()
+        task.cancel()
+
+    run_virtually(scenario, peer)
+    assert sent[0] < sent_within_s
