--- a/citronwood/ingress/acceptor.py
+++ b/citronwood/ingress/acceptor.py
@@ -98,7 +98,12 @@
             except OSError as error:
                 # Without a pause, the event loop would call this method all the time.
                 self._metrics.count(f"{self._name}.accept_failed")
-                log_state(log, self._name, "accept_failed", f"entry: {error}")
+                log_state(
+                    log,
+                    self._name,
+                    "accept_failed",
+                    f"entry: no connection accepted: {error}",
+                )
                 self._loop.remove_reader(self._listening)
                 self._loop.call_later(RETRY_AFTER_S, self._resume)
                 return
--- a/citronwood/ingress/budget.py
+++ b/citronwood/ingress/budget.py
@@ -1,6 +1,6 @@
 """Decisions on the limits of a process: pure code, without I/O.
 
-Load pattern: callers, in or out of their senses, open thousands of connections, send
+Load pattern: callers that respect no limit open thousands of connections, and send
 messages of up to 1 MiB at once, in small pieces, without an end or without reading the
 answers. All of them together stay within the memory and the descriptors that the
 settings give to the process. The keys are the connections themselves.
--- a/citronwood/mysql/ingress.py
+++ b/citronwood/mysql/ingress.py
@@ -149,6 +149,10 @@
         """Note that the packet is complete and is handled from now on."""
         self._limits.receiving.pop(self, None)
 
+    def give_up(self) -> None:
+        """Close the connection, because its packet did not arrive in time."""
+        self._limits.close(self, "slow_message")
+
     def release(self) -> None:
         """Free the memory of the last packet."""
         self._limits.release(self)
--- a/citronwood/mysql/packets.py
+++ b/citronwood/mysql/packets.py
@@ -80,8 +80,12 @@
         """Read a payload for which memory is reserved, until the next header."""
         self._has_reserved = True
         await client.reserve(count)
-        async with asyncio.timeout(PACKET_TIMEOUT_S):
-            payload = await self.reader.readexactly(count)
+        try:
+            async with asyncio.timeout(PACKET_TIMEOUT_S):
+                payload = await self.reader.readexactly(count)
+        except TimeoutError:
+            client.give_up()
+            raise
         client.end_packet()
         return payload
 
