--- a/review/fleet3/http.py
+++ b/review/fleet3/http.py
@@ -37,7 +37,7 @@
                     return
                 method, target, _ = request.decode().split(" ", 2)
                 headers = {}
-                while (line := (await reader.readline()).strip()):
+                while line := (await reader.readline()).strip():
                     name, _, value = line.decode().partition(":")
                     headers[name.strip().lower()] = value.strip()
                 length = int(headers.get("content-length", "0"))
